--- /dev/null
+++ b/libraries/boost_sources/asio.cc
@@ -0,0 +1,1 @@
+#include <boost/asio/impl/src.hpp>
--- /dev/null
+++ b/libraries/boost_sources/beast.cc
@@ -0,0 +1,1 @@
+#include <boost/beast/src.hpp>
--- /dev/null
+++ b/libraries/boost_sources/json.cc
@@ -0,0 +1,1 @@
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/libraries/charts/chart_drawing.cc
@@ -0,0 +1,47 @@
+#include <sstream>
+
+#include "charts/charts.h"
+
+namespace jackdawturn {
+
+namespace {
+
+std::string TableText(const std::string& text) {
+  std::string escaped;
+  for (const char c : text) {
+    if (c == '|')
+      escaped += '\\';
+    escaped += c;
+  }
+  return escaped;
+}
+
+}  // namespace
+
+std::string DrawChart(const Chart& chart) {
+  std::ostringstream out;
+  out << "stateDiagram-v2\n    [*] --> " << chart.initial() << '\n';
+  for (const ChartTransition& transition : chart.transitions())
+    out << "    " << transition.from << " --> " << transition.to << " : "
+        << transition.event << '\n';
+  return out.str();
+}
+
+std::string DrawChartsPage() {
+  std::ostringstream out;
+  out << "# State charts\n\nThis page is made from the files in `charts/`, "
+         "which the program interprets. A test compares the two; to write the "
+         "page again, run `JACKDAWTURN_WRITE_CHARTS=1 build/test_charts`.\n";
+  for (const auto& [file, text] : BuiltInChartTexts()) {
+    const Chart& chart = BuiltInChart(file);
+    out << "\n## " << chart.name() << "\n\nFile: `charts/" << file
+        << ".json`.\n\n```mermaid\n"
+        << DrawChart(chart) << "```\n\n| state | meaning |\n|---|---|\n";
+    for (const ChartState& state : chart.states())
+      out << "| " << state.name << " | " << TableText(state.description)
+          << " |\n";
+  }
+  return out.str();
+}
+
+}  // namespace jackdawturn
--- /dev/null
+++ b/libraries/charts/charts.h
@@ -0,0 +1,141 @@
+#pragma once
+
+// Public header of the library charts: state charts in JSON, which the code
+// interprets and the documentation draws from the same files.
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/core.h"
+
+namespace jackdawturn {
+
+// A fault of a chart file.
+struct ChartFault {
+  // JSON pointer (RFC 6901) to the faulty value; empty for the whole document.
+  std::string pointer;
+  std::string message;
+
+  friend bool operator==(const ChartFault&, const ChartFault&) = default;
+};
+
+struct ChartState {
+  std::string name;
+  std::string description;
+};
+
+struct ChartTransition {
+  std::string from;
+  std::string event;
+  std::string to;
+};
+
+// Returns every fault of the chart in `text`, in the order of the document:
+// JSON that cannot be parsed, missing, unknown or ill-typed members, duplicate
+// states and transitions, targets and sources that are not states, a missing
+// or unknown initial state and unreachable states. Empty for a valid chart.
+// Thread-safe.
+std::vector<ChartFault> CheckChart(std::string_view text);
+
+// A checked state chart. Thread safety: immutable, so safe from any thread.
+class Chart {
+ public:
+  // Errors: kInvalidArgument; the message lists all faults of CheckChart with
+  // their JSON pointers.
+  static Result<Chart> Create(std::string_view text);
+
+  const std::string& name() const { return m_name; }
+  const std::string& initial() const { return m_initial; }
+  const std::vector<ChartState>& states() const { return m_states; }
+  const std::vector<ChartTransition>& transitions() const {
+    return m_transitions;
+  }
+
+  // Returns the target of `event` in `state`, or nullptr when the state has no
+  // such transition. The pointer lives as long as the chart.
+  const std::string* Target(const std::string& state,
+                            const std::string& event) const;
+
+ private:
+  std::string m_name;
+  std::string m_initial;
+  std::vector<ChartState> m_states;
+  std::vector<ChartTransition> m_transitions;
+  std::map<std::pair<std::string, std::string>, std::string> m_targets;
+};
+
+// The current state of one run through a chart. Thread safety: not thread-safe.
+class ChartRun {
+ public:
+  // Precondition: `chart` outlives the run.
+  explicit ChartRun(const Chart& chart)
+      : m_chart(&chart), m_state(chart.initial()) {}
+
+  const std::string& state() const { return m_state; }
+
+  // Takes the transition of `event`. Returns false, and stays, when the current
+  // state has none.
+  bool Fire(const std::string& event);
+
+ private:
+  const Chart* m_chart;
+  std::string m_state;
+};
+
+// An event that code fires, with the states in which it may fire it.
+struct ChartEvent {
+  std::string_view name;
+  std::vector<std::string_view> from;
+};
+
+// A chart as a table of small integers, for code that is run for each request.
+// States and events are the places of their names in the lists of Create, which
+// are the values of the enumerations of that code. Thread safety: immutable, so
+// safe from any thread.
+class CompiledChart {
+ public:
+  static constexpr size_t kMaxStates = 16;
+  static constexpr size_t kMaxEvents = 16;
+  static constexpr uint8_t kNoTarget = UINT8_MAX;
+
+  // Errors: kInvalidArgument when the states, the events, or the states in
+  // which an event is possible differ from those of the chart, when the initial
+  // state is not the first of `states`, or when there are more states or events
+  // than the table holds.
+  static Result<CompiledChart> Create(
+      const Chart& chart,
+      const std::vector<std::string_view>& states,
+      const std::vector<ChartEvent>& events);
+
+  // Returns the state after `event` in `state`, or kNoTarget.
+  // Preconditions: both are below the limits.
+  uint8_t Target(size_t state, size_t event) const {
+    return m_targets[state][event];
+  }
+
+ private:
+  CompiledChart() = default;
+
+  std::array<std::array<uint8_t, kMaxEvents>, kMaxStates> m_targets;
+};
+
+// The charts of the folder charts/, which are built into the binary: their JSON
+// texts by file name without ".json". Thread-safe.
+const std::map<std::string, std::string>& BuiltInChartTexts();
+
+// Returns a chart of the folder charts/ by file name without ".json".
+// Precondition: the chart exists and is valid, which a test checks.
+// Thread-safe.
+const Chart& BuiltInChart(const std::string& name);
+
+// Returns the chart as the text of a Mermaid state diagram. Thread-safe.
+std::string DrawChart(const Chart& chart);
+
+// Returns docs/charts.md as it follows from the built-in charts. Thread-safe.
+std::string DrawChartsPage();
+
+}  // namespace jackdawturn
--- /dev/null
+++ b/libraries/failover/instance_health.cc
@@ -0,0 +1,35 @@
+#include "failover/instance_health.h"
+
+#include <utility>
+#include <vector>
+
+namespace jackdawturn::failover {
+
+Result<CompiledChart> CompileInstanceHealthChart(const Chart& chart) {
+  // In the order of InstanceHealth and InstanceHealthEvent. Each report is
+  // possible in each state.
+  const std::vector<std::string_view> states = {"unknown", "current", "behind",
+                                                "rebuilding"};
+  return CompiledChart::Create(chart, states,
+                               {{"report_current", states},
+                                {"report_behind", states},
+                                {"report_ahead", states}});
+}
+
+const CompiledChart& InstanceHealthChart() {
+  static const CompiledChart chart = [] {
+    auto compiled = CompileInstanceHealthChart(BuiltInChart("instance_health"));
+    VERIFY(compiled.has_value());
+    return std::move(compiled).value();
+  }();
+  return chart;
+}
+
+InstanceHealth After(InstanceHealth health, InstanceHealthEvent event) {
+  const uint8_t target = InstanceHealthChart().Target(
+      static_cast<size_t>(health), static_cast<size_t>(event));
+  VERIFY(target != CompiledChart::kNoTarget);
+  return static_cast<InstanceHealth>(target);
+}
+
+}  // namespace jackdawturn::failover
--- /dev/null
+++ b/libraries/failover/instance_health.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+
+#include "charts/charts.h"
+#include "core/core.h"
+
+namespace jackdawturn::failover {
+
+// The states of charts/instance_health.json, in the order of its list: what the
+// reports of an instance show of its log. Whether the instance answers is a
+// separate question with a level as its answer (SuspicionDetector), so that
+// silence does not end a rebuild.
+enum class InstanceHealth : uint8_t {
+  kUnknown,
+  kCurrent,
+  kBehind,
+  kRebuilding,
+};
+
+// The events of charts/instance_health.json.
+enum class InstanceHealthEvent : uint8_t {
+  kReportCurrent,  // The last entry is of the term of the group.
+  kReportBehind,   // Another term, and nothing is known against the log.
+  kReportAhead,    // The log has entries that the new primary does not have.
+};
+
+// Errors: those of CompiledChart::Create. Thread-safe.
+Result<CompiledChart> CompileInstanceHealthChart(const Chart& chart);
+
+// The built-in chart. Ends the program when it does not agree with the code.
+// Thread-safe.
+const CompiledChart& InstanceHealthChart();
+
+// Returns the state after `event`. Thread-safe.
+InstanceHealth After(InstanceHealth health, InstanceHealthEvent event);
+
+// True when reads may use the instance. Thread-safe.
+constexpr bool Readable(InstanceHealth health) {
+  return health != InstanceHealth::kRebuilding;
+}
+
+}  // namespace jackdawturn::failover
--- /dev/null
+++ b/libraries/failover/suspicion_detector.cc
@@ -0,0 +1,249 @@
+#include "failover/suspicion_detector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawturn::failover {
+
+namespace {
+
+// Assumed before the first round trip was seen.
+constexpr Duration kInitialLimit = std::chrono::milliseconds(20);
+constexpr Duration kInitialFreshLimit = std::chrono::milliseconds(40);
+constexpr Duration kProbeTimeoutFloor = std::chrono::milliseconds(15);
+constexpr Duration kProbeTimeoutCeiling = std::chrono::milliseconds(2'000);
+// Probes without an answer after which the timeout doubles with each further
+// one. Without it, a path that is slower than the timeout is never measured.
+// The first ones keep their timeout, because the verdict on a primary needs the
+// ends of several probes soon.
+constexpr uint32_t kProbesBeforeDoubling = 4;
+constexpr uint32_t kMostDoublings = 6;
+// One lost message must not look like a host that is gone.
+constexpr uint32_t kRefusalsNeeded = 2;
+constexpr uint32_t kFailedHandshakesNeeded = 3;
+// The observed limit is multiplied by this before it counts as death.
+constexpr int kUnreachableFactor = 6;
+constexpr int kSilentFactor = 8;
+// The answer of a witness may have been on its way while the silence began.
+constexpr Duration kWitnessSlack = std::chrono::milliseconds(10);
+// Timers whose median is the usual delay.
+constexpr size_t kDelaySamples = 15;
+// The usual delay is multiplied by this before it counts as a pause.
+constexpr int kPauseFactor = 4;
+// The same for the interval of periodic work: an event that takes the usual
+// delay then uses at most this part of the process's time.
+constexpr int kIntervalFactor = 8;
+constexpr Duration kLongestInterval = std::chrono::milliseconds(1'000);
+// The same for the time in which a witness answers: it waits in the queues of
+// both processes and may have been asked one interval ago.
+constexpr int kWitnessFactor = 3 * kIntervalFactor;
+constexpr Duration kLongestWitnessLifetime = std::chrono::milliseconds(4'000);
+
+}  // namespace
+
+SuspicionDetector::SuspicionDetector(SuspicionSettings settings)
+    : m_settings(settings), m_delays(kDelaySamples) {}
+
+void RoundTrip::Add(Duration sample) {
+  if (smoothed == Duration(0)) {
+    smoothed = sample;
+    variation = sample / 2;
+    return;
+  }
+  const Duration difference =
+      smoothed > sample ? smoothed - sample : sample - smoothed;
+  variation = (3 * variation + difference) / 4;
+  smoothed = (7 * smoothed + sample) / 8;
+}
+
+const SuspicionDetector::Contacts* SuspicionDetector::Find(
+    const InstanceName& instance) const {
+  const auto found = m_contacts.find(instance);
+  return found == m_contacts.end() ? nullptr : &found->second;
+}
+
+void SuspicionDetector::ContactStarted(const InstanceName& instance,
+                                       TimePoint now) {
+  Contacts& contacts = m_contacts[instance];
+  if (!contacts.silent_since)
+    contacts.silent_since = now;
+}
+
+void SuspicionDetector::ContactEnded(const InstanceName& instance,
+                                     ContactOutcome outcome,
+                                     bool fresh,
+                                     Duration round_trip,
+                                     TimePoint now) {
+  Contacts& contacts = m_contacts[instance];
+  if (outcome == ContactOutcome::kAnswered) {
+    if (round_trip > Duration(0))
+      (fresh ? contacts.fresh_connection : contacts.open_connection)
+          .Add(round_trip);
+    contacts.last_answer = now;
+    contacts.silent_since.reset();
+    contacts.refused = 0;
+    contacts.not_connected = 0;
+    contacts.connected_but_silent = 0;
+    contacts.unanswered = 0;
+    return;
+  }
+  if (!contacts.silent_since)
+    contacts.silent_since = now;
+  if (outcome == ContactOutcome::kRefused)
+    ++contacts.refused;
+  else if (fresh && outcome == ContactOutcome::kNotConnected)
+    ++contacts.not_connected;
+  else if (fresh)
+    ++contacts.connected_but_silent;
+  ++contacts.unanswered;
+}
+
+Duration SuspicionDetector::Limit(const Contacts& contacts) const {
+  const Duration observed = contacts.open_connection.Limit();
+  if (contacts.refused >= kRefusalsNeeded)
+    return std::max(m_settings.refused_floor, observed);
+  if (contacts.not_connected >= kFailedHandshakesNeeded &&
+      contacts.connected_but_silent == 0)
+    return std::max(m_settings.unreachable_floor,
+                    kUnreachableFactor * observed);
+  return std::max(m_settings.silent_floor, kSilentFactor * observed);
+}
+
+double SuspicionDetector::Level(const InstanceName& instance,
+                                TimePoint now) const {
+  const Contacts* contacts = Find(instance);
+  if (contacts == nullptr || !contacts->silent_since)
+    return 0;
+  return ToMilliseconds(now - *contacts->silent_since) /
+         ToMilliseconds(Limit(*contacts));
+}
+
+bool SuspicionDetector::Failing(const InstanceName& instance,
+                                TimePoint now) const {
+  const Contacts* contacts = Find(instance);
+  if (contacts == nullptr || !contacts->silent_since)
+    return false;
+  return contacts->refused > 0 ||
+         now - *contacts->silent_since >=
+             std::max(m_settings.failing_floor,
+                      contacts->open_connection.Limit());
+}
+
+std::optional<TimePoint> SuspicionDetector::SilentSince(
+    const InstanceName& instance) const {
+  const Contacts* contacts = Find(instance);
+  return contacts == nullptr ? std::nullopt : contacts->silent_since;
+}
+
+std::optional<TimePoint> SuspicionDetector::LastAnswer(
+    const InstanceName& instance) const {
+  const Contacts* contacts = Find(instance);
+  return contacts == nullptr ? std::nullopt : contacts->last_answer;
+}
+
+Duration SuspicionDetector::ProbeTimeout(const InstanceName& instance,
+                                         bool fresh) const {
+  const Contacts* contacts = Find(instance);
+  Duration limit{0};
+  if (contacts != nullptr)
+    limit = (fresh ? contacts->fresh_connection : contacts->open_connection)
+                .Limit();
+  if (limit == Duration(0))
+    limit = fresh ? kInitialFreshLimit : kInitialLimit;
+  const uint32_t unanswered = contacts == nullptr ? 0 : contacts->unanswered;
+  const uint32_t doublings =
+      std::clamp(unanswered, kProbesBeforeDoubling,
+                 kProbesBeforeDoubling + kMostDoublings) -
+      kProbesBeforeDoubling;
+  return std::clamp(2 * limit * (int64_t{1} << doublings), kProbeTimeoutFloor,
+                    kProbeTimeoutCeiling);
+}
+
+Duration SuspicionDetector::UsualRoundTrip(const InstanceName& instance) const {
+  const Contacts* contacts = Find(instance);
+  return contacts == nullptr ? Duration(0)
+                             : std::max(contacts->open_connection.smoothed,
+                                        contacts->fresh_connection.smoothed);
+}
+
+Duration SuspicionDetector::LongestRoundTrip() const {
+  Duration longest{0};
+  for (const auto& [name, contacts] : m_contacts)
+    longest = std::max(longest, UsualRoundTrip(name));
+  return longest;
+}
+
+Duration SuspicionDetector::Stretched(Duration interval) const {
+  return std::max(interval,
+                  std::min(kIntervalFactor * m_usual_delay, kLongestInterval));
+}
+
+Duration SuspicionDetector::WitnessLifetime() const {
+  const Duration slow = 2 * LongestRoundTrip() + kWitnessFactor * m_usual_delay;
+  return std::max(m_settings.witness_lifetime,
+                  std::min(slow, kLongestWitnessLifetime));
+}
+
+void SuspicionDetector::AddDelay(Duration delay) {
+  m_delays.push_back(delay);
+  std::vector<Duration> sorted(m_delays.begin(), m_delays.end());
+  const auto middle =
+      sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+  std::nth_element(sorted.begin(), middle, sorted.end());
+  m_usual_delay = sorted.size() < kDelaySamples ? Duration(0) : *middle;
+}
+
+void SuspicionDetector::WitnessAnswered(const VmName& witness,
+                                        const InstanceName& instance,
+                                        const WitnessView& view,
+                                        TimePoint now) {
+  m_witnesses[{instance, witness}] = Witness{view, now};
+}
+
+WitnessVerdict SuspicionDetector::Witnesses(const InstanceName& instance,
+                                            TimePoint now) const {
+  const auto silent_since = SilentSince(instance);
+  WitnessVerdict verdict = WitnessVerdict::kUnknown;
+  for (const auto& [key, witness] : m_witnesses) {
+    if (key.first != instance || now - witness.at > WitnessLifetime())
+      continue;
+    const auto& ago = witness.view.answered_ago;
+    if (silent_since && ago &&
+        witness.at - *ago > *silent_since + kWitnessSlack &&
+        !witness.view.failing)
+      return WitnessVerdict::kDisagrees;
+    if (witness.view.failing)
+      verdict = WitnessVerdict::kAgrees;
+  }
+  return verdict;
+}
+
+WitnessView SuspicionDetector::ViewOf(const InstanceName& instance,
+                                      TimePoint now) const {
+  WitnessView view;
+  if (const auto answered = LastAnswer(instance))
+    view.answered_ago = now - *answered;
+  view.failing = !RecentlyPaused(now) && Failing(instance, now);
+  return view;
+}
+
+bool SuspicionDetector::NoticePause(TimePoint due, TimePoint now) {
+  if (now < due)
+    return false;
+  const Duration limit =
+      std::max(m_settings.pause_limit, kPauseFactor * m_usual_delay);
+  AddDelay(now - due);
+  if (now - due <= limit)
+    return false;
+  m_paused_until = now + m_settings.pause_quarantine;
+  for (auto& [name, contacts] : m_contacts) {
+    contacts.silent_since.reset();
+    contacts.refused = 0;
+    contacts.not_connected = 0;
+    contacts.connected_but_silent = 0;
+  }
+  m_witnesses.clear();
+  return true;
+}
+
+}  // namespace jackdawturn::failover
--- /dev/null
+++ b/libraries/fleet/drain_machine.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/core.h"
+
+namespace jackdawturn::fleet {
+
+// SIGTERM or the command `drain` arrived. Repeating it changes nothing.
+struct DrainRequested {
+  std::string reason;
+};
+
+// Work of callers on this proxy; feed it after every change while draining.
+struct WorkChanged {
+  size_t requests = 0;
+  size_t transactions = 0;
+};
+
+// Connections to backend servers that this proxy still holds.
+struct SharesChanged {
+  size_t connections = 0;
+};
+
+using DrainEvent = std::variant<DrainRequested, WorkChanged, SharesChanged>;
+
+// /readyz answers with 503 from now on, so the load balancer stops choosing
+// this proxy. Requests that still arrive are served.
+struct StopBeingReady {};
+// New transactions are passed on to other holders, or refused as not_run when
+// none is known.
+struct RefuseTransactions {};
+// Feeds AnnounceLeaving to the membership, which starts the handover of shares.
+struct BeginLeaving {};
+// The listening sockets close; requests in progress continue.
+struct StopAccepting {};
+// The limit passed: remaining transactions are rolled back and their callers
+// are told so; requests in progress get their truthful outcome.
+struct EndRemainingWork {};
+// All connections are closed as they are idle.
+struct ReleaseShares {};
+// Feeds AnnounceLeft to the membership.
+struct SayLeft {};
+struct ExitProcess {
+  int code = 0;
+};
+
+using DrainEffect = std::variant<StopBeingReady,
+                                 RefuseTransactions,
+                                 BeginLeaving,
+                                 StopAccepting,
+                                 EndRemainingWork,
+                                 ReleaseShares,
+                                 SayLeft,
+                                 ExitProcess>;
+
+enum class DrainState {
+  kServing,
+  kNotReady,   // Still accepts what the load balancer sends.
+  kFinishing,  // Accepts nothing and waits for work in progress.
+  kReleasing,  // Hands over the shares.
+  kLeaving,    // Waits until the announcement has spread.
+  kExited,
+};
+
+// Returns the state's name, for example "not_ready".
+std::string_view ToString(DrainState state);
+
+struct DrainOptions {
+  // Time for the load balancer to notice that this proxy is not ready.
+  Duration readiness_time = std::chrono::milliseconds(2'000);
+  // Longest wait for work in progress; longer than the time limit of a
+  // transaction, so that only work beyond its own limits is ended.
+  Duration work_limit = std::chrono::milliseconds(30'000);
+  // Longest wait for the connections to close.
+  Duration release_limit = std::chrono::milliseconds(2'000);
+  // Time for the last announcement to be sent.
+  Duration leave_time = std::chrono::milliseconds(200);
+};
+
+// The graceful shutdown of a proxy.
+// Thread safety: not thread-safe; owned by the decision thread.
+class DrainMachine {
+ public:
+  explicit DrainMachine(DrainOptions options) : m_options(options) {}
+
+  std::vector<DrainEffect> Handle(const DrainEvent& event, TimePoint now);
+  std::vector<DrainEffect> OnTime(TimePoint now);
+  // Returns TimePoint::max() when nothing is due.
+  TimePoint NextWakeup() const;
+
+  DrainState state() const { return m_state; }
+  const std::string& reason() const { return m_reason; }
+
+ private:
+  using Effects = std::vector<DrainEffect>;
+
+  void Advance(TimePoint now, Effects& effects);
+  void Enter(DrainState state, Duration limit, TimePoint now);
+
+  DrainOptions m_options;
+  DrainState m_state = DrainState::kServing;
+  std::string m_reason;
+  size_t m_work = 0;
+  size_t m_connections = 0;
+  bool m_work_ended = false;
+  TimePoint m_deadline = TimePoint::max();
+};
+
+}  // namespace jackdawturn::fleet
--- /dev/null
+++ b/libraries/proxy/fleet_host.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "failover/failover.h"
+#include "fleet/fleet.h"
+#include "proxy/proxy_context.h"
+#include "targets/targets.h"
+
+namespace jackdawturn::proxy {
+
+// Joins membership, the division of connections and the spread of versions to
+// the ports. Thread safety: not thread-safe; owned by the decision thread.
+class FleetHost {
+ public:
+  struct Hooks {
+    // A newer version of a platform object is in force.
+    std::function<void(const targets::SpreadObject& object)> on_version;
+    // A message for the GroupHost arrived.
+    std::function<void(const VmName& from, const std::string& bytes)>
+        on_group_message;
+    std::function<void(const std::vector<failover::FailoverPeer>& peers)>
+        on_peers;
+    std::function<void(const InstanceName& instance)> on_leaving;
+    // The connections that this proxy may open to an instance changed.
+    std::function<void(const InstanceName& instance)> on_share;
+    std::function<void()> on_caught_up;
+    std::function<void(const targets::SurveyResult& result)> on_survey;
+  };
+
+  static Result<std::unique_ptr<FleetHost>> Create(ProxyContext& context,
+                                                   const ProxyOptions& options,
+                                                   Hooks hooks);
+
+  void Start();
+  void On(const DatagramArrived& event);
+  void OnTime();
+  std::optional<TimePoint> NextWakeup() const;
+
+  void SendGroupMessage(const VmName& to, std::string bytes);
+  // Gives an object that this proxy stored or read to the spread.
+  void ObjectStored(const targets::SpreadObject& object);
+  void Survey(const targets::SpreadEvent& event);
+  void AnnounceLeaving();
+  // Closes all connections as they become idle. Until then a proxy that leaves
+  // keeps them, although its peers ask for them, because it still works.
+  void ReleaseShares();
+  // Connections to all instances that are open.
+  size_t open_connections() const { return m_open; }
+  void AnnounceLeft();
+
+  // Connections that this proxy may have open to the instance.
+  size_t Share(const InstanceName& instance) const;
+  // Another proxy must serve the group; false for a group that is unknown.
+  bool Relays(const GroupName& group) const;
+  // See GroupOwnership::Relay.
+  Result<fleet::RelayTarget> Relay(const GroupName& group,
+                                   uint64_t spread) const;
+  void HolderLearned(const GroupName& group, const VmName& holder);
+  // "IP:PORT" of the relay of a present member of the zone or contact.
+  std::optional<std::string> RelayAddress(const VmName& vm) const;
+  // A result of the connection pool: ConnectionOpened, OpenRefused, OpenFailed
+  // or ConnectionClosed. It is kept until HandleConnections, because the pool
+  // must not be entered while it reports.
+  void ConnectionChanged(fleet::OwnershipEvent event);
+  // Gives the results to the ownership. Call it after every event.
+  void HandleConnections();
+  // This proxy is the first holder of the group in its zone, in rendezvous
+  // order.
+  bool FirstHolder(const GroupName& group) const;
+
+  bool caught_up() const { return m_spread.ready(); }
+  std::optional<Duration> age() const;
+  const targets::VersionTable& versions() const { return m_spread.table(); }
+  fleet::FleetView view() const { return m_members.view(m_context.now()); }
+  const std::vector<failover::FailoverPeer>& peers() const { return m_peers; }
+
+ private:
+  FleetHost(ProxyContext& context,
+            const ProxyOptions& options,
+            fleet::DatagramCodec codec,
+            Hooks hooks);
+
+  void Members(const fleet::MembershipEvent& event);
+  void Do(const std::vector<fleet::MembershipEffect>& effects);
+  void OnPayload(const fleet::PayloadReceived& payload);
+  void MembersChanged();
+  void Spread(const std::vector<targets::SpreadEffect>& effects);
+  void Own(const std::vector<fleet::OwnershipEffect>& effects);
+  void Open(const fleet::OpenConnections& open);
+  void HandleConnection(const fleet::OwnershipEvent& event);
+  void EndOverdueOpens();
+  void LookAtView();
+  fleet::OwnershipView OwnersOf(const fleet::FleetView& view);
+  void Watch(const targets::StartWatch& watch);
+  void SendPayload(const VmName& to, uint8_t channel, std::string bytes);
+  void PollVms();
+  void VmsListed(const std::vector<ListedVm>& vms);
+  void TellLeaving(const std::set<std::string>& names);
+
+  ProxyContext& m_context;
+  const ProxyOptions& m_options;
+  Hooks m_hooks;
+  fleet::MembershipMachine m_members;
+  targets::VersionSpread m_spread;
+  fleet::GroupOwnership m_ownership;
+  std::vector<failover::FailoverPeer> m_peers;
+  // Relay addresses of present members.
+  std::map<VmName, std::string> m_addresses;
+  // What the ownership asked of the pool of an instance.
+  struct Pool {
+    // Opens without a result, and when the last change of them was.
+    size_t opening = 0;
+    TimePoint opening_since;
+    // Open connections that are to be closed as they become idle.
+    size_t closing = 0;
+    // Connections that the pool opened although the ownership had withdrawn the
+    // grant; the pool closes them.
+    size_t ungranted = 0;
+  };
+  std::map<InstanceName, Pool> m_pools;
+  std::vector<fleet::OwnershipEvent> m_connection_events;
+  // What the ownership was told last of the view.
+  std::vector<VmName> m_vanished;
+  bool m_may_take = false;
+  TimePoint m_next_look;
+  std::set<std::string> m_leaving;
+  TimePoint m_next_poll;
+  TimePoint m_next_tell;
+  bool m_polling = false;
+  size_t m_open = 0;
+  bool m_announced_leaving = false;
+  bool m_released = false;
+  bool m_left = false;
+};
+
+}  // namespace jackdawturn::proxy
--- /dev/null
+++ b/libraries/proxy/operator_host.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "proxy/fleet_host.h"
+#include "proxy/group_host.h"
+#include "proxy/proxy_context.h"
+#include "proxy/routing_host.h"
+#include "targets/targets.h"
+
+namespace jackdawturn::proxy {
+
+// Answers the operators: status, targets and planned changes. Thread safety:
+// not thread-safe; owned by the decision thread.
+class OperatorHost {
+ public:
+  OperatorHost(ProxyContext& context,
+               const ProxyOptions& options,
+               GroupHost& groups,
+               FleetHost& fleet,
+               RoutingHost& routing);
+
+  // Precondition: the action is not kDrain, which the ProxyMachine answers.
+  void On(const OperatorAsked& event);
+  // The targets in force changed; nullptr when none are known.
+  void TargetsChanged(const targets::Targets* in_force) {
+    m_in_force = in_force;
+  }
+  void On(const targets::SurveyResult& result);
+  void OnTime();
+  std::optional<TimePoint> NextWakeup() const;
+
+ private:
+  // An operator's change of the targets that is not answered yet.
+  struct Edit {
+    targets::TargetsEditor editor;
+    OperatorAsked asked;
+    // Set while the answer waits for the other proxies.
+    std::optional<TimePoint> wait_until;
+    ObjectVersion version;
+    std::optional<targets::SurveyResult> last_survey;
+  };
+
+  void Status(const OperatorAsked& event);
+  void GetTargets(const OperatorAsked& event);
+  void Change(const OperatorAsked& event);
+  void StartEdit(const OperatorAsked& event);
+  void Edited(OperatorCall call,
+              const std::vector<targets::EditorEffect>& effects);
+  void Finished(OperatorCall call, const targets::EditFinished& result);
+  void EndWait(OperatorCall call, bool complete);
+  void Answer(OperatorCall call, unsigned status, std::string body);
+
+  ProxyContext& m_context;
+  const ProxyOptions& m_options;
+  GroupHost& m_groups;
+  FleetHost& m_fleet;
+  RoutingHost& m_routing;
+  const targets::Targets* m_in_force = nullptr;
+  std::map<OperatorCall, Edit> m_edits;
+};
+
+}  // namespace jackdawturn::proxy
--- /dev/null
+++ b/libraries/proxy/peer_messages.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "core/core.h"
+#include "failover/failover.h"
+
+namespace jackdawturn::proxy {
+
+// Messages between the GroupHosts of two proxies, carried by gossip payloads in
+// cereal's portable binary form.
+
+struct WitnessQuestion {
+  GroupName group;
+  failover::FailoverCall call;
+  InstanceName instance;
+};
+struct WitnessReply {
+  GroupName group;
+  failover::FailoverCall call;
+  failover::WitnessView view;
+};
+enum class GroupNoticeKind : uint8_t {
+  kHold,      // Writes of `term` are held until `limit` has passed.
+  kRelease,   // The hold is over.
+  kProgress,  // The sender makes the change to `term` and still gets on.
+};
+struct GroupNotice {
+  GroupNoticeKind kind = GroupNoticeKind::kHold;
+  GroupName group;
+  Term term;
+  Duration limit{0};
+};
+
+using PeerMessage = std::variant<WitnessQuestion, WitnessReply, GroupNotice>;
+
+// Thread-safe.
+std::string EncodePeerMessage(const PeerMessage& message);
+// Errors: kInvalidArgument for bytes that are not a message. Never throws.
+Result<PeerMessage> DecodePeerMessage(std::string_view bytes);
+
+}  // namespace jackdawturn::proxy
--- /dev/null
+++ b/libraries/proxy/proxy_context.cc
@@ -0,0 +1,94 @@
+#include "proxy/proxy_context.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace jackdawturn::proxy {
+
+namespace {
+// A VM whose wall clock is further ahead than this does not move the others.
+constexpr std::chrono::microseconds kMaxClockSkew = std::chrono::minutes(1);
+}  // namespace
+
+ProxyContext::ProxyContext(const ProxyOptions& options)
+    : m_vm(options.vm),
+      m_wall_start(options.wall_clock),
+      m_clock(kMaxClockSkew),
+      m_secret_bytes(options.secret_bytes),
+      m_random(options.seed) {}
+
+void ProxyContext::SetNow(TimePoint now) {
+  if (!m_start)
+    m_start = now;
+  m_now = now;
+}
+
+ClockTime ProxyContext::wall_clock() const {
+  return m_wall_start + (m_now - m_start.value_or(m_now));
+}
+
+void ProxyContext::Call(const InstanceName& instance,
+                        std::optional<BackendConnectionId> connection,
+                        BackendRequest request,
+                        Duration timeout,
+                        OnBackend on_answer,
+                        bool fresh) {
+  const uint64_t call = ++m_last_call;
+  m_backend_calls[call] = std::move(on_answer);
+  Emit(BackendCommand(CallBackend{call, instance, connection,
+                                  std::move(request), timeout, fresh}));
+}
+
+void ProxyContext::Call(PlatformRequest request,
+                        Duration timeout,
+                        OnPlatform on_answer) {
+  const uint64_t call = ++m_last_call;
+  m_platform_calls[call] = std::move(on_answer);
+  Emit(CallPlatform{call, std::move(request), timeout});
+}
+
+void ProxyContext::Answered(const BackendAnswered& event) {
+  const auto found = m_backend_calls.find(event.call);
+  if (found == m_backend_calls.end())
+    return;
+  const OnBackend on_answer = std::move(found->second);
+  m_backend_calls.erase(found);
+  on_answer(event.result);
+}
+
+void ProxyContext::Answered(const PlatformAnswered& event) {
+  const auto found = m_platform_calls.find(event.call);
+  if (found == m_platform_calls.end())
+    return;
+  const OnPlatform on_answer = std::move(found->second);
+  m_platform_calls.erase(found);
+  on_answer(event.result);
+}
+
+void ProxyContext::Record(EventKind kind,
+                          const GroupName& group,
+                          const RequestId& request,
+                          std::string step,
+                          std::string peer,
+                          Fields fields) {
+  Emit(RecordEvent{TimelineEvent{m_clock.Send(wall_clock()), m_vm, kind, group,
+                                 request, std::move(step), std::move(peer),
+                                 std::move(fields)}});
+}
+
+std::string ProxyContext::NewId() {
+  std::array<uint8_t, 16> bytes{};
+  if (m_secret_bytes)
+    bytes = m_secret_bytes();
+  else
+    std::generate(bytes.begin(), bytes.end(),
+                  [this] { return static_cast<uint8_t>(m_random()); });
+  std::ostringstream text;
+  text << std::hex << std::setfill('0');
+  for (const uint8_t byte : bytes)
+    text << std::setw(2) << static_cast<unsigned>(byte);
+  return text.str();
+}
+
+}  // namespace jackdawturn::proxy
--- /dev/null
+++ b/libraries/proxy/proxy_events.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "fleet/fleet.h"
+#include "observe/observe.h"
+#include "ports/ports.h"
+
+namespace jackdawturn::proxy {
+
+// Number of a caller's or operator's request within this process.
+using CallerCall = Counter<struct CallerCallTag>;
+using OperatorCall = Counter<struct OperatorCallTag>;
+
+// --- Events -----------------------------------------------------------------
+
+struct CallerArrived {
+  CallerCall call;
+  CallerRequest request;
+};
+// The caller closed its connection before it had the answer.
+struct CallerLeft {
+  CallerCall call;
+};
+struct DatagramArrived {
+  fleet::PeerAddress from;
+  std::string bytes;
+};
+// What an operator asks; docs/interfaces.md describes the calls.
+enum class OperatorAction {
+  kStatus,
+  kGetTargets,
+  kSetTargets,
+  kRollbackTargets,
+  kFailover,
+  kDrain,
+};
+struct OperatorAsked {
+  OperatorCall call;
+  OperatorAction action = OperatorAction::kStatus;
+  // kFailover.
+  GroupName group;
+  Term expected_term;
+  // Id of a change, so that a repeated request is recognised.
+  std::string change;
+  // kSetTargets, kRollbackTargets: the version that the operator saw.
+  std::optional<ObjectVersion> expected_version;
+  // Answer only when all reachable proxies run the version, or after this time.
+  std::optional<Duration> wait;
+  // kSetTargets: the new document.
+  std::string document;
+};
+struct TimePassed {};
+
+using Event = std::variant<CallerArrived,
+                           CallerLeft,
+                           BackendOpened,
+                           BackendLost,
+                           BackendAnswered,
+                           PlatformAnswered,
+                           DatagramArrived,
+                           RelayArrived,
+                           RelayEnded,
+                           OperatorAsked,
+                           TimePassed>;
+
+// --- Effects ----------------------------------------------------------------
+
+struct AnswerCaller {
+  CallerCall call;
+  CallerAnswer answer;
+  // For the metrics.
+  ClassName class_name;
+  Duration latency{0};
+  // Role of the instance that served a read.
+  std::optional<ReadRole> read_role;
+};
+struct AnswerOperator {
+  OperatorCall call;
+  HttpResponse response;
+};
+struct SendDatagram {
+  fleet::PeerAddress to;
+  std::string bytes;
+};
+// A read of a relayed request was served; the proxy that relayed it counts the
+// request itself.
+struct CountRead {
+  ClassName class_name;
+  ReadRole role = ReadRole::kPrimary;
+};
+struct RecordEvent {
+  TimelineEvent event;
+};
+// What /readyz answers from now on.
+struct SetReady {
+  bool ready = false;
+};
+// Answers to callers close their connections from now on, so that callers with
+// keep-alive connections move to other proxies.
+struct CloseAfterAnswers {};
+// The listening socket for callers closes; open connections go on.
+struct StopAccepting {};
+struct ExitProcess {
+  int code = 0;
+};
+
+using Effect = std::variant<AnswerCaller,
+                            AnswerOperator,
+                            BackendCommand,
+                            CallPlatform,
+                            SendDatagram,
+                            RelayCommand,
+                            CountRead,
+                            RecordEvent,
+                            SetReady,
+                            CloseAfterAnswers,
+                            StopAccepting,
+                            ExitProcess>;
+
+}  // namespace jackdawturn::proxy
--- /dev/null
+++ b/libraries/proxy/relay_host.cc
@@ -0,0 +1,380 @@
+#include "proxy/relay_host.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawturn::proxy {
+
+namespace {
+
+// Numbers of relayed requests are apart from those of this proxy's callers.
+constexpr uint64_t kArrivalBit = uint64_t{1} << 63;
+// Holders that are asked for one request, its outcome question included.
+constexpr size_t kMaxAttempts = 4;
+// Holders that are looked at for the next attempt.
+constexpr uint64_t kMaxChoices = 8;
+// An attempt after which another one is possible takes this part of the time
+// that is left, so that the other one still has time.
+constexpr int kAttemptParts = 3;
+constexpr int kAllAttemptParts = 4;
+// The holder has this part of the attempt's time, so that an answer given at
+// its deadline still arrives.
+constexpr int kHolderParts = 15;
+constexpr int kAllHolderParts = 16;
+constexpr Duration kRetryAfter = std::chrono::milliseconds(200);
+constexpr size_t kMaxLearned = 4'096;
+constexpr size_t kMaxTransactions = 16'384;
+
+constexpr const char* kNoHolder = "no_holder";
+constexpr const char* kNoAnswer = "no_answer";
+
+bool CanBeSentTwice(CallerOperation operation) {
+  return operation == CallerOperation::kRead ||
+         operation == CallerOperation::kOutcome;
+}
+
+bool HasOutcome(CallerOperation operation) {
+  return operation == CallerOperation::kWrite ||
+         operation == CallerOperation::kCommit;
+}
+
+// The answer to a request that may have run.
+CallerAnswer UnknownAnswer(const CallerRequest& request) {
+  CallerAnswer answer = RefusalOf(request, kNoAnswer);
+  answer.outcome = CallerOutcome::kUnknown;
+  if (request.operation == CallerOperation::kWrite) {
+    answer.ask_at = TargetOf(CallerOperation::kOutcome);
+    answer.digest = request.digest;
+  }
+  return answer;
+}
+
+}  // namespace
+
+TransactionId MakeTransactionId(const VmName& vm, const std::string& random) {
+  return TransactionId(vm.value() + "." + random);
+}
+
+VmName HolderOf(const TransactionId& transaction) {
+  const size_t dot = transaction.value().rfind('.');
+  return dot == std::string::npos ? VmName()
+                                  : VmName(transaction.value().substr(0, dot));
+}
+
+RelayHost::RelayHost(ProxyContext& context,
+                     const ProxyOptions& options,
+                     Hooks hooks)
+    : m_context(context), m_options(options), m_hooks(std::move(hooks)) {}
+
+// --- Requests of callers ----------------------------------------------------
+
+void RelayHost::On(const CallerArrived& event) {
+  const CallerRequest& request = event.request;
+  const VmName pinned = HolderOf(request.transaction);
+  // A proxy that drains serves what arrives but for new transactions.
+  const bool passes_on =
+      request.operation == CallerOperation::kBegin && m_hooks.draining();
+  const bool relays =
+      request.transaction.empty()
+          ? m_hooks.knows(request.group) &&
+                (passes_on || m_hooks.relays(request.group))
+          : pinned != m_options.vm && AddressOf(pinned).has_value();
+  if (!relays || !m_hooks.ready())
+    return m_hooks.serve(event);
+  Relayed relayed;
+  relayed.caller = event.call;
+  relayed.request = request;
+  relayed.arrived = m_context.now();
+  relayed.deadline = m_context.now() +
+                     std::min(request.deadline.value_or(m_options.request_time),
+                              m_options.longest_request_time);
+  relayed.reason = kNoHolder;
+  if (const auto known = m_transactions.find(request.transaction);
+      known != m_transactions.end()) {
+    relayed.request.group = known->second.group;
+    relayed.request.class_name = known->second.class_name;
+  }
+  SendNext(std::move(relayed));
+  m_hooks.on_work_changed();
+}
+
+void RelayHost::SendNext(Relayed relayed) {
+  const Duration left = relayed.deadline - m_context.now();
+  if (left <= Duration(0) || relayed.attempts >= kMaxAttempts)
+    return GiveUp(relayed);
+  const auto holder = Choose(relayed);
+  if (!holder)
+    return GiveUp(relayed);
+  // This proxy became a holder, or is the last one of its zone.
+  if (*holder == m_options.vm)
+    return ServeHere(relayed);
+  ++relayed.attempts;
+  relayed.holder = *holder;
+  relayed.tried.insert(*holder);
+  const CallerOperation operation = relayed.request.operation;
+  const bool another_follows =
+      CanBeSentTwice(operation) || HasOutcome(operation);
+  const Duration time =
+      another_follows ? left * kAttemptParts / kAllAttemptParts : left;
+  m_last_call = m_last_call.Next();
+  m_context.Emit(RelayCommand(SendRelay{
+      m_last_call, *AddressOf(*holder),
+      Message(relayed, time * kHolderParts / kAllHolderParts), time, Stamp()}));
+  m_relayed.emplace(m_last_call, std::move(relayed));
+}
+
+std::optional<VmName> RelayHost::Choose(Relayed& relayed) {
+  const auto usable = [&](const VmName& vm) {
+    return relayed.tried.count(vm) == 0 && AddressOf(vm).has_value();
+  };
+  if (!relayed.request.transaction.empty() && !relayed.asking) {
+    const VmName pinned = HolderOf(relayed.request.transaction);
+    return usable(pinned) ? std::optional(pinned) : std::nullopt;
+  }
+  if (!relayed.named.empty() && usable(relayed.named))
+    return relayed.named;
+  for (uint64_t index = 0; index < kMaxChoices; ++index) {
+    const auto target =
+        m_hooks.target(relayed.request.group, relayed.caller.value + index);
+    if (!target)
+      break;
+    if (target.value().vm == m_options.vm || usable(target.value().vm))
+      return target.value().vm;
+  }
+  // The only holder may still live although the connection to it was lost.
+  const bool repeatable =
+      relayed.asking || CanBeSentTwice(relayed.request.operation);
+  if (!repeatable || relayed.holder.empty() ||
+      std::exchange(relayed.tried_again, true) || !AddressOf(relayed.holder))
+    return std::nullopt;
+  return relayed.holder;
+}
+
+std::optional<std::string> RelayHost::AddressOf(const VmName& vm) const {
+  if (auto address = m_hooks.address(vm))
+    return address;
+  const auto learned = m_learned.find(vm);
+  return learned == m_learned.end() ? std::nullopt
+                                    : std::optional(learned->second);
+}
+
+CallerRequest RelayHost::Message(const Relayed& relayed, Duration time) const {
+  CallerRequest message = relayed.request;
+  message.deadline = time;
+  if (!relayed.asking)
+    return message;
+  const bool commit = message.operation == CallerOperation::kCommit;
+  message.operation = CallerOperation::kOutcome;
+  message.statement.clear();
+  message.transaction = TransactionId();
+  if (commit)
+    message.digest = message.transaction_digest.value_or(0);
+  return message;
+}
+
+void RelayHost::ServeHere(const Relayed& relayed) {
+  m_hooks.serve(CallerArrived{
+      relayed.caller, Message(relayed, relayed.deadline - m_context.now())});
+}
+
+// --- Ends of attempts -------------------------------------------------------
+
+void RelayHost::On(const RelayEnded& event) {
+  const auto found = m_relayed.find(event.call);
+  if (found == m_relayed.end())
+    return;
+  Relayed relayed = std::move(found->second);
+  m_relayed.erase(found);
+  if (event.result) {
+    Observe(event.stamp);
+    Replied(std::move(relayed), event.result.value());
+  } else if (event.result.error().code == ErrorCode::kTimeout) {
+    Lost(std::move(relayed));
+  } else {
+    if (m_learned.erase(relayed.holder) != 0)
+      m_hooks.holder_learned(relayed.request.group, VmName());
+    NotRun(std::move(relayed),
+           event.result.error().code == ErrorCode::kExhausted
+               ? "overloaded"
+               : "holder_unreachable");
+  }
+  m_hooks.on_work_changed();
+}
+
+void RelayHost::Replied(Relayed relayed, const RelayReply& reply) {
+  switch (reply.verdict) {
+    case RelayVerdict::kNotHolder:
+      LearnHolder(relayed, reply);
+      return NotRun(std::move(relayed), kNoHolder);
+    case RelayVerdict::kRefused:
+      return NotRun(std::move(relayed), reply.reason);
+    case RelayVerdict::kAnswered:
+      break;
+  }
+  Remember(relayed, reply.answer);
+  CallerAnswer answer = reply.answer;
+  // The answer to the question becomes that to the request. Of the invalid ones
+  // only "id_reused" is about the request; another is a fault of the question,
+  // which leaves the outcome open.
+  const bool open = answer.outcome == CallerOutcome::kUnknown ||
+                    (answer.outcome == CallerOutcome::kInvalid &&
+                     answer.reason != "id_reused");
+  if (relayed.asking && open) {
+    answer = UnknownAnswer(relayed.request);
+    answer.token = reply.answer.token;
+    answer.retry_after = reply.answer.retry_after;
+  }
+  Finish(relayed, std::move(answer));
+}
+
+// The holder is known to have done nothing for this attempt.
+void RelayHost::NotRun(Relayed relayed, std::string reason) {
+  m_context.Record(EventKind::kRequest, relayed.request.group,
+                   relayed.request.request, "relay_refused",
+                   relayed.holder.value(),
+                   {{std::string(kReasonField), reason}});
+  relayed.reason = std::move(reason);
+  SendNext(std::move(relayed));
+}
+
+// The holder may have the request and may have run it.
+void RelayHost::Lost(Relayed relayed) {
+  m_context.Record(EventKind::kRequest, relayed.request.group,
+                   relayed.request.request, "relay_lost",
+                   relayed.holder.value());
+  relayed.reason = kNoAnswer;
+  const CallerOperation operation = relayed.request.operation;
+  if (relayed.asking || CanBeSentTwice(operation))
+    return SendNext(std::move(relayed));
+  // Without its id nobody can use the transaction, so nothing of it takes
+  // effect; the holder rolls it back at its idle limit.
+  if (operation == CallerOperation::kBegin)
+    return GiveUp(relayed);
+  const CallerRequest& request = relayed.request;
+  const bool commit = operation == CallerOperation::kCommit;
+  if (!HasOutcome(operation) || request.group.empty() ||
+      request.class_name.empty() || (commit && !request.transaction_digest))
+    return Finish(relayed, UnknownAnswer(request));
+  relayed.asking = true;
+  relayed.tried = {relayed.holder};
+  SendNext(std::move(relayed));
+}
+
+void RelayHost::GiveUp(const Relayed& relayed) {
+  Finish(relayed, relayed.asking ? UnknownAnswer(relayed.request)
+                                 : RefusalOf(relayed.request, relayed.reason));
+}
+
+void RelayHost::Finish(const Relayed& relayed, CallerAnswer answer) {
+  if (answer.token.empty())
+    answer.token = relayed.request.token;
+  if (answer.outcome != CallerOutcome::kDone &&
+      answer.outcome != CallerOutcome::kInvalid && !answer.retry_after)
+    answer.retry_after = kRetryAfter;
+  m_context.Emit(AnswerCaller{relayed.caller, std::move(answer),
+                              relayed.request.class_name,
+                              m_context.now() - relayed.arrived, std::nullopt});
+}
+
+void RelayHost::LearnHolder(Relayed& relayed, const RelayReply& reply) {
+  if (reply.holder.empty() || reply.holder == m_options.vm)
+    return;
+  relayed.named = reply.holder;
+  if (!m_hooks.address(reply.holder)) {
+    if (m_learned.size() >= kMaxLearned)
+      m_learned.clear();
+    m_learned[reply.holder] = reply.holder_address;
+  }
+  m_hooks.holder_learned(relayed.request.group, reply.holder);
+}
+
+void RelayHost::Remember(const Relayed& relayed, const CallerAnswer& answer) {
+  switch (relayed.request.operation) {
+    case CallerOperation::kBegin:
+      if (answer.transaction.empty())
+        return;
+      std::erase_if(m_transactions, [this](const auto& item) {
+        return item.second.expires <= m_context.now();
+      });
+      if (m_transactions.size() < kMaxTransactions)
+        m_transactions[answer.transaction] = {
+            relayed.request.group, relayed.request.class_name,
+            m_context.now() + m_options.transactions.total_limit};
+      return;
+    case CallerOperation::kCommit:
+    case CallerOperation::kRollback:
+      m_transactions.erase(relayed.request.transaction);
+      return;
+    default:
+      return;
+  }
+}
+
+// --- Requests of other proxies ----------------------------------------------
+
+void RelayHost::On(const RelayArrived& event) {
+  Observe(event.stamp);
+  const CallerRequest& request = event.request;
+  const auto refuse = [&](const char* reason) {
+    RelayReply reply;
+    reply.reason = reason;
+    Reply(event.arrival, std::move(reply));
+  };
+  if (!m_hooks.ready())
+    return refuse("not_ready");
+  // The step of a transaction that has ended is refused by the RequestHost.
+  if (request.transaction.empty()) {
+    if (!m_hooks.knows(request.group))
+      return refuse("unknown_group");
+    if (m_hooks.relays(request.group))
+      return Reply(event.arrival, WrongHolder(request.group));
+    if (request.operation == CallerOperation::kBegin && m_hooks.draining())
+      return refuse("draining");
+  }
+  const CallerCall call{kArrivalBit | ++m_last_arrival};
+  m_arrivals[call] = event.arrival;
+  m_hooks.serve(CallerArrived{call, request});
+}
+
+RelayReply RelayHost::WrongHolder(const GroupName& group) const {
+  RelayReply reply;
+  reply.verdict = RelayVerdict::kNotHolder;
+  const auto target = m_hooks.target(group, m_last_arrival);
+  if (target) {
+    reply.holder = target.value().vm;
+    reply.holder_address = AddressOf(reply.holder).value_or("");
+  }
+  return reply;
+}
+
+void RelayHost::Answered(AnswerCaller answer) {
+  const auto found = m_arrivals.find(answer.call);
+  if (found == m_arrivals.end())
+    return m_context.Emit(std::move(answer));
+  const RelayArrival arrival = found->second;
+  m_arrivals.erase(found);
+  if (answer.read_role)
+    m_context.Emit(CountRead{answer.class_name, *answer.read_role});
+  RelayReply reply;
+  reply.verdict = RelayVerdict::kAnswered;
+  reply.answer = std::move(answer.answer);
+  Reply(arrival, std::move(reply));
+}
+
+void RelayHost::Reply(RelayArrival arrival, RelayReply reply) {
+  m_context.Emit(RelayCommand(AnswerRelay{arrival, std::move(reply), Stamp()}));
+}
+
+RelayStamp RelayHost::Stamp() {
+  const HybridStamp stamp = m_context.clock().Send(m_context.wall_clock());
+  return {static_cast<uint64_t>(stamp.physical.time_since_epoch().count()),
+          stamp.logical};
+}
+
+void RelayHost::Observe(const RelayStamp& stamp) {
+  m_context.clock().Receive(
+      {ClockTime(std::chrono::microseconds(stamp.physical)), stamp.logical},
+      m_context.wall_clock());
+}
+
+}  // namespace jackdawturn::proxy
--- /dev/null
+++ b/libraries/proxy/request_host.h
@@ -0,0 +1,173 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "proxy/group_host.h"
+#include "proxy/proxy_context.h"
+#include "proxy/routing_host.h"
+#include "requests/requests.h"
+#include "sessions/sessions.h"
+
+namespace jackdawturn::proxy {
+
+using SharedTarget = std::shared_ptr<const routing::ClassTarget>;
+
+// Brings the requests of callers to their answers: writes and outcome questions
+// through RequestMachine, transactions through TransactionTable, reads through
+// the routing. Thread safety: not thread-safe; owned by the decision thread.
+class RequestHost {
+ public:
+  struct Hooks {
+    // The target of a class in the version that is in force; empty when the
+    // class is unknown.
+    std::function<SharedTarget(const ClassName& name)> target;
+    // False until targets are known.
+    std::function<bool()> ready;
+    // Takes the answer to a request.
+    std::function<void(AnswerCaller answer)> answer;
+    std::function<void()> on_work_changed;
+  };
+
+  RequestHost(ProxyContext& context,
+              const ProxyOptions& options,
+              SessionTokenCodec codec,
+              GroupHost& groups,
+              RoutingHost& routing,
+              Hooks hooks);
+
+  void On(const CallerArrived& event);
+  void On(const CallerLeft& event);
+  // The record, a hold or the reachability of a group changed.
+  void GroupChanged(const GroupName& group);
+  void ConnectionLost(const InstanceName& instance,
+                      routing::PoolConnectionId connection);
+  // Refuses new transactions from now on.
+  void BeginDrain();
+  void OnTime();
+  std::optional<TimePoint> NextWakeup() const;
+
+  size_t requests() const { return m_callers.size(); }
+  bool draining() const { return m_draining; }
+  size_t transactions() const { return m_transactions.size(); }
+
+ private:
+  // A caller that waits for its answer.
+  struct Caller {
+    CallerRequest request;
+    SessionPositions positions;
+    SharedTarget target;
+    TimePoint arrived;
+    TimePoint deadline;
+    bool gone = false;
+  };
+  // A write, commit or outcome question in progress. It goes on when its caller
+  // is gone, because its outcome must become final.
+  struct Write {
+    std::unique_ptr<requests::RequestMachine> machine;
+    requests::WriteRequest request;
+    // A command was given to the routing.
+    bool commanded = false;
+    std::optional<TimePoint> wakeup;
+  };
+  // A transaction that this proxy holds.
+  struct Transaction {
+    GroupName group;
+    // The class as it was at the begin; it applies until the end.
+    SharedTarget target;
+    // Hash over the class, the group and all statements that ran.
+    uint64_t digest = 0;
+    routing::SendStatement begin;
+    // The routing has heard of the end of the begin and holds the connection.
+    bool held = false;
+    // The connection was given back to the routing.
+    bool returned = false;
+    // The commit whose machine still needs group and class.
+    std::optional<CallerCall> commit;
+  };
+
+  Caller* Admit(const CallerArrived& event);
+  void StartRead(CallerCall call, Caller& caller);
+  void StartWrite(CallerCall call, Caller& caller);
+  void ReleaseHeld(const GroupName& group);
+  void StartOutcome(CallerCall call, Caller& caller);
+  void StartBegin(CallerCall call, Caller& caller);
+  void StartStatement(CallerCall call, Caller& caller);
+  void StartCommit(CallerCall call, Caller& caller);
+  void StartRollback(CallerCall call, Caller& caller);
+
+  // The time in the id is too far ahead of the wall clock; its ledger entry
+  // would outlive the retention.
+  bool IsFromFuture(const RequestId& request) const;
+  requests::GroupView ViewOf(const GroupName& group) const;
+  routing::RoutedRequest Routed(const GroupName& group,
+                                const std::string& caller,
+                                SharedTarget target,
+                                routing::Operation operation,
+                                TimePoint deadline) const;
+
+  // Writes.
+  void Drive(CallerCall call, const requests::RequestEvent& event);
+  void Do(CallerCall call, const requests::RequestEffect& effect);
+  void SendCommand(CallerCall call,
+                   requests::CallId number,
+                   const requests::LedgerCommand& command,
+                   bool refuse);
+  void AskReport(
+      const requests::AskReport& ask,
+      const std::function<void(const requests::InstanceReported&)>& on_report);
+  void Schedule(CallerCall call);
+  void Finish(CallerCall call, const requests::Answer& answer);
+
+  // Transactions.
+  void Feed(const requests::TransactionEvent& event);
+  void Do(const requests::TransactionEffect& effect);
+  void Reply(const requests::ReplyStatement& reply);
+  void SendStep(const requests::PinnedConnection& on,
+                requests::CallId call,
+                BackendRequest request,
+                bool answer_to_commit);
+  void StepAnswered(const requests::PinnedConnection& on,
+                    requests::CallId call,
+                    const Result<BackendResponse>& result,
+                    bool answer_to_commit);
+  void DoCommit(const TransactionId& transaction,
+                const requests::RequestEffect& effect);
+  void SendRefusal(const TransactionId& transaction,
+                   requests::CallId call,
+                   const WriteCommand& command);
+  void Hold(Transaction& transaction);
+  void EndTransaction(ConnectionId connection, bool clean);
+
+  void Answer(CallerCall call,
+              CallerAnswer answer,
+              std::optional<ReadRole> role = std::nullopt);
+  void Refuse(CallerCall call,
+              std::string reason,
+              std::string message = "",
+              std::optional<Duration> retry_after = std::nullopt);
+  void Invalid(CallerCall call, std::string reason, std::string message);
+
+  ProxyContext& m_context;
+  const ProxyOptions& m_options;
+  SessionTokenCodec m_codec;
+  GroupHost& m_groups;
+  RoutingHost& m_routing;
+  Hooks m_hooks;
+  std::map<CallerCall, Caller> m_callers;
+  std::map<CallerCall, Write> m_writes;
+  // Writes that wait for the end of a planned change.
+  std::map<GroupName, std::vector<CallerCall>> m_held;
+  std::set<std::pair<TimePoint, CallerCall>> m_wakeups;
+  requests::TransactionTable m_table;
+  std::map<TransactionId, Transaction> m_transactions;
+  bool m_draining = false;
+};
+
+}  // namespace jackdawturn::proxy
--- /dev/null
+++ b/libraries/proxy/routing_host.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "proxy/proxy_context.h"
+#include "routing/routing.h"
+
+namespace jackdawturn::proxy {
+
+// A statement that is to run on a connection which the routing chooses.
+struct RoutedStep {
+  routing::RoutedRequest request;
+  // The call to the instance. `term` is set when only its primary may run it.
+  std::function<BackendRequest(std::optional<Term> term)> make_call;
+  // The term that the call was made for; another one fails with kWrongTerm.
+  std::optional<Term> only_term;
+  // Runs exactly once, with the answer or with an error: kTimeout when the
+  // statement may have run, kUnavailable with the refusal's name as message
+  // when it did not. `on` is the connection that was used.
+  std::function<void(const Result<BackendResponse>& result,
+                     const std::optional<routing::RefuseRequest>& refusal)>
+      done;
+  // Runs when the connection is known, instead of a call; for the begin of a
+  // transaction, which the transaction table sends itself.
+  std::function<void(const routing::SendStatement& send)> on_connection;
+};
+
+// Joins the RoutingMachine to the backend port.
+// Thread safety: not thread-safe; owned by the decision thread.
+class RoutingHost {
+ public:
+  // Hooks for what the routing sees of instances.
+  struct Hooks {
+    // A report or failure of a contact, for the suspicion of a primary.
+    std::function<void(const GroupName& group,
+                       const InstanceName& instance,
+                       const Result<InstanceReport>& result,
+                       Duration round_trip)>
+        on_contact;
+    // A connection was opened, refused by its limit, or failed.
+    std::function<void(const InstanceName& instance,
+                       routing::OpenOutcome outcome)>
+        on_opened;
+    // A connection of the pool is gone. `was_open` is false when the pool gave
+    // up opening it.
+    std::function<void(const InstanceName& instance, bool was_open)> on_closed;
+    std::function<void(const InstanceName& instance,
+                       routing::PoolConnectionId connection)>
+        on_lost;
+  };
+
+  RoutingHost(ProxyContext& context, const ProxyOptions& options, Hooks hooks);
+
+  void Route(const routing::RoutingEvent& event);
+  // Starts a step; a new internal id is given to its request.
+  void Run(RoutedStep step);
+  // Ends a step of `on_connection`. The connection is held from now on, also
+  // after a begin that failed, until ConnectionReleased says whether it is
+  // clean: a begin without an answer may have opened a transaction.
+  void EndBegin(const routing::SendStatement& send);
+
+  void On(const BackendOpened& event);
+  void On(const BackendLost& event);
+  void OnTime();
+  std::optional<TimePoint> NextWakeup() const { return m_machine.NextWakeup(); }
+
+  const routing::RoutingMachine& machine() const { return m_machine; }
+
+ private:
+  struct Connection {
+    GroupName group;
+    InstanceName instance;
+    bool open = false;
+    bool busy = false;
+  };
+  using AnswerKey = std::pair<RequestId, routing::PoolConnectionId>;
+
+  void On(const routing::SendStatement& effect);
+  void On(const routing::GiveAnswer& effect);
+  void On(const routing::DropAnswer& effect);
+  void On(const routing::RefuseRequest& effect);
+  void On(const routing::ResolveRequest& effect);
+  void On(const routing::AskReport& effect);
+  void On(const routing::OpenConnection& effect);
+  void On(const routing::CloseConnection& effect);
+
+  void StatementEnded(const routing::SendStatement& send,
+                      bool is_write,
+                      TimePoint sent,
+                      const Result<BackendResponse>& result);
+  std::optional<RoutedStep> TakeStep(const RequestId& id);
+
+  ProxyContext& m_context;
+  Hooks m_hooks;
+  routing::RoutingMachine m_machine;
+  uint64_t m_last_id = 0;
+  std::map<RequestId, RoutedStep> m_steps;
+  // Answers that wait for GiveAnswer or DropAnswer.
+  std::map<AnswerKey, Result<BackendResponse>> m_answers;
+  std::map<routing::PoolConnectionId, Connection> m_connections;
+};
+
+}  // namespace jackdawturn::proxy
--- /dev/null
+++ b/libraries/requests/transaction_machine.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "requests/transaction_types.h"
+
+namespace jackdawturn::requests {
+
+// The answer to a commit that is not sent: `not_run` for this submission, or
+// `unknown` when the caller may have submitted it before. Thread-safe.
+Answer RefuseCommit(const WriteRequest& request,
+                    Reason reason,
+                    const std::string& message);
+
+// One transaction from its begin to its end, pinned to one connection. Only
+// TransactionTable creates and drives it.
+//
+// The connection is released only after the instance answered that the
+// transaction has ended and no other call is out; in all other cases it is
+// closed, which rolls back.
+//
+// Thread safety: not thread-safe; owned by the decision thread.
+class TransactionMachine {
+ public:
+  // The machine sends the begin at once; see Start.
+  TransactionMachine(const BeginTransaction& begin,
+                     const TransactionOptions& options);
+
+  std::vector<TransactionEffect> Start(TimePoint now);
+
+  // Precondition: the event names this transaction, its connection or group.
+  std::vector<TransactionEffect> Handle(const TransactionEvent& event,
+                                        TimePoint now);
+
+  // When TimePassed is wanted.
+  std::optional<TimePoint> NextWakeup() const;
+
+  // True when the connection was given back and every caller has a reply.
+  bool ended() const { return m_state == State::kEnded; }
+
+  const PinnedConnection& on() const { return m_on; }
+  const GroupName& group() const { return m_group; }
+
+ private:
+  enum class State {
+    kCalled,     // A begin or statement is out.
+    kOpen,       // Waits for the caller.
+    kRollback,   // A rollback is out.
+    kCommitted,  // The commit's RequestMachine decides.
+    kEnded,
+  };
+  enum class Connection { kPinned, kReturned };
+
+  void OnEvent(const BeginTransaction& event, TimePoint now);
+  void OnEvent(const RunStatement& event, TimePoint now);
+  void OnEvent(const CommitTransaction& event, TimePoint now);
+  void OnEvent(const RollbackTransaction& event, TimePoint now);
+  void OnEvent(const CallerGone& event, TimePoint now);
+  void OnEvent(const StatementAnswered& event, TimePoint now);
+  void OnEvent(const CommitEvent& event, TimePoint now);
+  void OnEvent(const ConnectionLost& event, TimePoint now);
+  void OnEvent(const GroupTermChanged& event, TimePoint now);
+  void OnEvent(const BeginDrain& event, TimePoint now);
+  void OnEvent(const TimePassed& event, TimePoint now);
+
+  void HandleCommit(const RequestEvent& event, TimePoint now);
+  // Ends a rollback; `clean` says that the instance has confirmed it.
+  void EndRollback(bool clean);
+  // Closes the connection and tells the caller that waits, if any.
+  void Abort(ErrorCode code, const std::string& message);
+  void Return(bool clean);
+  void Reply(ReplyTo reply_to, Result<std::string> result);
+  CallId NewCall(TimePoint answer_by);
+
+  GroupName m_group;
+  PinnedConnection m_on;
+  TransactionOptions m_options;
+  State m_state = State::kCalled;
+  Connection m_connection = Connection::kPinned;
+  // The caller's request that waits, if any.
+  std::optional<ReplyTo> m_waiting;
+  CallId m_call;
+  TimePoint m_answer_by;
+  TimePoint m_idle_until;
+  TimePoint m_total_until;
+  std::optional<RequestMachine> m_commit;
+  WriteRequest m_commit_request;
+  bool m_commit_sent = false;
+  std::vector<TransactionEffect> m_effects;
+};
+
+}  // namespace jackdawturn::requests
--- /dev/null
+++ b/libraries/requests/transaction_types.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include <string>
+#include <variant>
+
+#include "requests/request_machine.h"
+#include "requests/request_types.h"
+
+namespace jackdawturn::requests {
+
+// One request of a caller that waits for a reply. The wiring gives each a new
+// number, so that a reply reaches its own caller or nobody.
+using ReplyTo = Counter<struct ReplyToTag>;
+
+// Events of TransactionTable. All but ConnectionLost, BeginDrain and
+// TimePassed go to the transaction that they name.
+
+// Begins a transaction on a connection that is open and clean. `transaction`
+// is a new id that other callers cannot guess.
+struct BeginTransaction {
+  ReplyTo reply_to;
+  GroupName group;
+  PinnedConnection on;
+};
+
+struct RunStatement {
+  ReplyTo reply_to;
+  TransactionId transaction;
+  std::string statement;
+  TimePoint deadline;
+};
+
+// `request.commit_on` is filled in by the table.
+struct CommitTransaction {
+  ReplyTo reply_to;
+  TransactionId transaction;
+  WriteRequest request;
+  GroupView view;
+};
+
+struct RollbackTransaction {
+  ReplyTo reply_to;
+  TransactionId transaction;
+};
+
+// The caller's connection is gone. A commit that was sent goes on.
+struct CallerGone {
+  TransactionId transaction;
+};
+
+// The answer to SendBegin, SendStatement or SendRollback. It has an effect only
+// if transaction, connection and call are those that are waited for.
+struct StatementAnswered {
+  TransactionId transaction;
+  InstanceName instance;
+  ConnectionId connection;
+  CallId call;
+  Result<std::string> result;
+};
+
+// An event of the RequestMachine that commits the transaction.
+struct CommitEvent {
+  TransactionId transaction;
+  RequestEvent event;
+};
+
+struct ConnectionLost {
+  InstanceName instance;
+  ConnectionId connection;
+};
+
+// The term of a group has changed; its open transactions are rolled back.
+struct GroupTermChanged {
+  GroupView view;
+};
+
+// From now on begins are refused; open transactions end within their limits.
+struct BeginDrain {};
+
+using TransactionEvent = std::variant<BeginTransaction,
+                                      RunStatement,
+                                      CommitTransaction,
+                                      RollbackTransaction,
+                                      CallerGone,
+                                      StatementAnswered,
+                                      CommitEvent,
+                                      ConnectionLost,
+                                      GroupTermChanged,
+                                      BeginDrain,
+                                      TimePassed>;
+
+// Effects of TransactionTable.
+
+struct SendBegin {
+  CallId call;
+  PinnedConnection on;
+};
+
+struct SendStatement {
+  CallId call;
+  PinnedConnection on;
+  std::string statement;
+};
+
+struct SendRollback {
+  CallId call;
+  PinnedConnection on;
+};
+
+// The connection is clean and can serve another transaction.
+struct ReleaseConnection {
+  InstanceName instance;
+  ConnectionId connection;
+};
+
+// The state of the connection is not known; closing it rolls back.
+struct CloseConnection {
+  InstanceName instance;
+  ConnectionId connection;
+};
+
+// Reply to a begin, statement or rollback.
+struct ReplyStatement {
+  ReplyTo reply_to;
+  TransactionId transaction;
+  Result<std::string> result;
+};
+
+// Reply to a commit.
+struct ReplyCommit {
+  ReplyTo reply_to;
+  TransactionId transaction;
+  Answer answer;
+};
+
+// An effect of the RequestMachine that commits the transaction. It is never a
+// ReplyAnswer. Answers come back as CommitEvent.
+struct CommitEffect {
+  TransactionId transaction;
+  RequestEffect effect;
+};
+
+using TransactionEffect = std::variant<SendBegin,
+                                       SendStatement,
+                                       SendRollback,
+                                       ReleaseConnection,
+                                       CloseConnection,
+                                       ReplyStatement,
+                                       ReplyCommit,
+                                       CommitEffect>;
+
+struct TransactionOptions {
+  // A transaction without a statement in progress for this long is rolled
+  // back.
+  Duration idle_limit = std::chrono::seconds(10);
+  // A transaction that did not reach its commit in this time is rolled back.
+  Duration total_limit = std::chrono::seconds(60);
+  // Wait for the answer to a begin or rollback.
+  Duration answer_timeout = std::chrono::milliseconds(500);
+  // Transactions of the proxy at a time.
+  size_t transaction_limit = 10'000;
+  RequestOptions commit;
+};
+
+}  // namespace jackdawturn::requests
--- /dev/null
+++ b/libraries/routing/group_router.h
@@ -0,0 +1,254 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <boost/container/small_vector.hpp>
+
+#include "core/core.h"
+#include "routing/admission_queue.h"
+#include "routing/connection_pool.h"
+#include "routing/instance_choice.h"
+#include "routing/replica_freshness.h"
+#include "routing/retry_budget.h"
+#include "routing/routing_events.h"
+#include "routing/routing_machine.h"
+#include "routing/slot_limit.h"
+
+namespace jackdawturn::routing {
+
+struct RoutingTables;
+
+// Routes the requests of one group for a RoutingMachine. Private to the
+// library.
+//
+// A request waits (for evidence, for a primary or for its back-off), is queued
+// at an instance, is sent, or is held: a read that the primary answered, until
+// a replica confirms that the primary was not replaced.
+//
+// Thread safety: not thread-safe.
+class GroupRouter {
+ public:
+  // The time of an event and the list to which its effects are added.
+  struct Turn {
+    TimePoint now;
+    RoutingEffects& effects;
+  };
+
+  GroupRouter(GroupName name, RoutingMachine& owner);
+
+  // Begins to load the state of the group into the processor's caches.
+  void Prefetch() const;
+
+  void Change(const GroupChanged& event, Turn& turn);
+  void SetHealth(const InstanceHealthChanged& event, Turn& turn);
+  void Arrive(const RoutedRequest& request, Turn& turn);
+  void Abandon(const RequestId& request, Turn& turn);
+  void Answer(const StatementAnswered& event, Turn& turn);
+  void Report(const ReportArrived& event, Turn& turn);
+  void Opened(const ConnectionOpened& event, Turn& turn);
+  void Lost(const ConnectionLost& event, Turn& turn);
+  void Released(const ConnectionReleased& event, Turn& turn);
+  void Tick(Turn& turn);
+  // Ends all requests and closes all connections.
+  void Stop(Turn& turn);
+
+  std::optional<TimePoint> NextWakeup(TimePoint now) const;
+  std::vector<InstanceStatus> Status(TimePoint now) const;
+
+  // The wake-up that the machine has noted for this group.
+  std::optional<TimePoint> scheduled;
+
+ private:
+  friend struct RoutingTables;
+
+  struct Instance {
+    Instance(InstanceView instance_view,
+             const RoutingOptions& options,
+             std::function<PoolConnectionId()> next_id)
+        : view(std::move(instance_view)),
+          limit(options.slots),
+          queue(options.admission),
+          pool(options.pool, std::move(next_id)) {}
+
+    InstanceView view;
+    bool listed = true;
+    bool was_stalled = false;
+    InstanceHealth health = InstanceHealth::kHealthy;
+    SlotLimit limit;
+    AdmissionQueue queue;
+    ConnectionPool pool;
+    // The outstanding query that waits for a position.
+    std::optional<LogPosition> awaited;
+    TimePoint awaited_at;
+    TimePoint awaited_until;
+  };
+
+  struct Attempt {
+    Instance* instance = nullptr;
+    PoolConnectionId connection;
+    TimePoint sent_at;
+    Term term;
+    bool primary = false;
+  };
+
+  struct Running {
+    uint64_t key = 0;
+    RequestId request;
+    TimePoint sent_at;
+  };
+
+  enum class Stage { kWaiting, kBackingOff, kQueued, kSent, kHeld };
+
+  struct Active {
+    uint64_t key = 0;
+    GroupRouter* group = nullptr;
+    RoutedRequest request;
+    TimePoint arrived;
+    TimePoint due;
+    TimePoint deadline;
+    uint64_t class_hash = 0;
+    uint64_t caller_hash = 0;
+    Stage stage = Stage::kWaiting;
+    RefusalReason reason = RefusalReason::kDeadline;
+    Instance* queued_at = nullptr;
+    // The instance whose last attempt failed.
+    Instance* avoid = nullptr;
+    std::vector<Attempt> attempts;
+    // The attempt whose answer waits for the report of a replica.
+    std::optional<Attempt> held;
+    InstanceReport held_report;
+    // An attempt of a write was lost and may have run.
+    bool uncertain = false;
+    bool abandoned = false;
+    uint32_t tries = 0;
+    TimePoint wake;
+  };
+
+  enum class Proof { kFresh, kNeedsReport, kStale };
+
+  // Lookup.
+  Active* Find(uint64_t key);
+  Active* Find(const RequestId& request);
+  Instance* FindInstance(const InstanceName& name) const;
+  Instance* FindInstance(PoolConnectionId connection) const;
+  bool IsPrimary(const Instance& instance) const;
+  bool CanWork(const Instance& instance) const;
+  Instance* UsablePrimary() const;
+  static bool IsRead(const Active& active);
+  static bool AcceptsAge(const Active& active);
+
+  // Way of a request.
+  void Route(Active& active, Turn& turn);
+  void RouteRead(Active& active, Turn& turn);
+  Choice Choose(const Active& active, bool hedge, TimePoint now);
+  Candidate CandidateFor(const Active& active,
+                         Instance& instance,
+                         TimePoint now);
+  void Wait(Active& active, TimePoint until, RefusalReason reason, Turn& turn);
+  void Enqueue(Active& active, Instance& instance, Turn& turn);
+  void RefuseQueued(const QueueRefusal& refusal,
+                    Instance& instance,
+                    Turn& turn);
+  void Dispatch(Instance& instance, Turn& turn);
+  void DispatchAll(Turn& turn);
+  bool MaySend(const Active& active,
+               const Instance& instance,
+               TimePoint now) const;
+  void Send(Active& active,
+            Instance& instance,
+            PoolConnectionId connection,
+            Turn& turn);
+  void SendStep(Active& active, Turn& turn);
+  void Hedge(Active& active, Turn& turn);
+  void Retry(Active& active, Instance* failed, Turn& turn);
+  void Requeue(Instance& instance, Turn& turn);
+  void SetPace(Instance& instance, TimePoint now);
+  void SetWake(Active& active, TimePoint wake);
+  void SetStage(Active& active, Stage stage);
+  // Looks again at the requests that wait for evidence or for a primary.
+  void Settle(Turn& turn);
+
+  // Answers.
+  void Done(Active& active,
+            const Attempt& attempt,
+            const std::optional<InstanceReport>& report,
+            Turn& turn);
+  Proof Prove(const Active& active,
+              const Attempt& attempt,
+              const InstanceReport& report,
+              TimePoint now) const;
+  void DropHeld(Active& active, Turn& turn);
+  void StatementLost(Instance& instance,
+                     PoolConnectionId connection,
+                     Turn& turn);
+  void AttemptLost(Active& active, PoolConnectionId connection, Turn& turn);
+  std::optional<Attempt> TakeAttempt(Active& active,
+                                     PoolConnectionId connection);
+
+  // Ends of a request. Each of them removes it. A write that may have run is
+  // handed over instead of being refused.
+  void Give(Active& active, const Attempt& attempt, Turn& turn);
+  void Refuse(Active& active, RefusalReason reason, Turn& turn);
+  void Resolve(Active& active, Turn& turn);
+  void Expire(Active& active, Turn& turn);
+  void Remove(Active& active, Turn& turn);
+
+  // Reports and connections.
+  void NoteAge(const Active& active, Turn& turn);
+  void AskAll(bool replicas_only, Turn& turn);
+  void Ask(const Instance& instance, Turn& turn);
+  void AskPosition(Instance& instance,
+                   LogPosition position,
+                   TimePoint until,
+                   Turn& turn);
+  void AskWitness(const Active& active, Turn& turn);
+  void ApplyPool(Instance& instance,
+                 const std::vector<PoolEffect>& pool_effects,
+                 Turn& turn);
+  void RemoveUnlisted();
+
+  GroupName m_name;
+  RoutingMachine& m_owner;
+  const RoutingOptions& m_options;
+  Term m_term;
+  InstanceName m_primary;
+  // The instance of that name; null when it is not listed.
+  Instance* m_primary_instance = nullptr;
+  // The primary answered that its term is over; a new record must come first.
+  bool m_primary_replaced = false;
+  boost::container::small_vector<std::unique_ptr<Instance>, 4> m_instances;
+  ReplicaFreshness m_freshness;
+  RetryBudget m_retries;
+  RetryBudget m_hedges;
+
+  RoutingTables& m_tables;
+  size_t m_in_progress = 0;
+  std::set<std::pair<TimePoint, uint64_t>> m_wakes;
+  // Requests in the stages kWaiting and kHeld.
+  std::set<uint64_t> m_unsettled;
+
+  TimePoint m_last_aged_read;
+  Duration m_smallest_age = Duration::max();
+  std::optional<TimePoint> m_next_report;
+  TimePoint m_last_witness_ask;
+};
+
+// The requests of all groups of a machine. They are kept together, because the
+// memory of each single group is rarely in the processor's caches when there
+// are thousands of them.
+struct RoutingTables {
+  uint64_t last_key = 0;
+  std::unordered_map<uint64_t, std::unique_ptr<GroupRouter::Active>> active;
+  std::unordered_map<RequestId, uint64_t> keys;
+  // The statements in progress, also those whose request has ended.
+  std::unordered_map<PoolConnectionId, GroupRouter::Running> running;
+};
+
+}  // namespace jackdawturn::routing
--- /dev/null
+++ b/libraries/routing/instance_choice.cc
@@ -0,0 +1,115 @@
+#include "routing/instance_choice.h"
+
+#include <algorithm>
+
+namespace jackdawturn::routing {
+
+namespace {
+
+constexpr Duration kShortestWait{1'000};
+
+// A way to serve the read: begin at `start`, end at `end`.
+struct Plan {
+  size_t index = 0;
+  TimePoint start;
+  TimePoint end;
+};
+
+bool Usable(const Candidate& candidate) {
+  return !candidate.leaving && !candidate.stalled && candidate.has_place &&
+         candidate.health != InstanceHealth::kDown;
+}
+
+Duration AnswerTime(const Candidate& candidate, const ChoiceOptions& options) {
+  Duration time = candidate.answer_time;
+  if (!candidate.same_zone)
+    time += options.other_zone_penalty;
+  if (candidate.health == InstanceHealth::kSuspect)
+    time += options.suspect_penalty;
+  return time;
+}
+
+// When the replica can begin, so that its answer is within the allowed age.
+std::optional<TimePoint> ReplicaStart(const Candidate& replica,
+                                      Duration allowed_age,
+                                      TimePoint now) {
+  const bool fresh =
+      replica.covered_until &&
+      now + replica.answer_time - *replica.covered_until <= allowed_age;
+  if (fresh)
+    return replica.holds_position
+               ? now
+               : std::max(replica.expected_at, now + kShortestWait);
+  // A bound of about the lag comes with the next report, which takes about as
+  // long as an answer.
+  if (replica.lag + 2 * replica.answer_time > allowed_age)
+    return std::nullopt;
+  const TimePoint reported = now + std::max(replica.answer_time, kShortestWait);
+  return replica.holds_position ? reported
+                                : std::max(reported, replica.expected_at);
+}
+
+void KeepEarlier(std::optional<Plan>& best, const Plan& plan) {
+  if (!best || plan.end < best->end)
+    best = plan;
+}
+
+}  // namespace
+
+Choice ChooseInstance(const ReadDemand& demand,
+                      const std::vector<Candidate>& candidates,
+                      TimePoint now,
+                      const ChoiceOptions& options) {
+  std::optional<Plan> replica;
+  std::optional<Plan> primary;
+  bool primary_usable = false;
+  bool replica_usable = false;
+  for (size_t index = 0; index < candidates.size(); ++index) {
+    const Candidate& candidate = candidates[index];
+    if (!Usable(candidate) || demand.avoid == index)
+      continue;
+    const Duration answer_time = AnswerTime(candidate, options);
+    if (candidate.primary) {
+      if (!demand.may_use_primary)
+        continue;
+      primary_usable = true;
+      if (now + answer_time <= demand.deadline)
+        primary = Plan{index, now, now + answer_time};
+      continue;
+    }
+    if (!demand.allowed_age)
+      continue;
+    const auto start = ReplicaStart(candidate, *demand.allowed_age, now);
+    if (!start || *start == TimePoint::max())
+      continue;
+    replica_usable = true;
+    if ((*start > now && !demand.may_wait) ||
+        *start + answer_time > demand.deadline)
+      continue;
+    KeepEarlier(replica, Plan{index, *start, *start + answer_time});
+  }
+
+  // The primary is scarce: it is taken only when the wait for a replica would
+  // use up more than its share of the time, or the time the primary itself
+  // needs.
+  const auto wait_end = now + std::chrono::duration_cast<Duration>(
+                                  (demand.deadline - now) * options.wait_share);
+  const bool replica_in_time =
+      replica && (!primary || replica->start == now ||
+                  (replica->start <= wait_end &&
+                   replica->start + (primary->end - now) <= demand.deadline));
+  if (replica_in_time && replica->start == now)
+    return {ChoiceKind::kUse, replica->index, now, RefusalReason::kOverloaded};
+  if (replica_in_time)
+    return {ChoiceKind::kWait, replica->index, replica->start,
+            RefusalReason::kNoFreshInstance};
+  if (primary)
+    return {ChoiceKind::kUse, primary->index, now, RefusalReason::kOverloaded};
+  if (primary_usable || replica_usable)
+    return {ChoiceKind::kRefuse, 0, now, RefusalReason::kOverloaded};
+  return {ChoiceKind::kRefuse, 0, now,
+          demand.allowed_age ? RefusalReason::kNoFreshInstance
+                             : RefusalReason::kNoPrimary};
+}
+
+}  // namespace jackdawturn::routing
--- /dev/null
+++ b/libraries/routing/routing_machine.cc
@@ -0,0 +1,185 @@
+#include "routing/routing_machine.h"
+
+#include <algorithm>
+#include <functional>
+#include <type_traits>
+
+#include "routing/group_router.h"
+
+namespace jackdawturn::routing {
+
+namespace {
+
+// A group that was just handled is not woken again at the same time.
+constexpr Duration kShortestSleep{1};
+// Wake-ups that are out of date are cleared out beyond this number.
+constexpr size_t kMostWakeupsPerGroup = 8;
+
+}  // namespace
+
+RoutingMachine::RoutingMachine(RoutingOptions options, uint64_t seed)
+    : m_options(std::move(options)),
+      m_random(seed),
+      m_tables(std::make_unique<RoutingTables>()) {
+  // A chart that does not agree with the code ends the program now, not when
+  // the first group is configured.
+  ConnectionChart();
+}
+
+RoutingMachine::~RoutingMachine() = default;
+
+RoutingEffects RoutingMachine::Handle(const RoutingEvent& event,
+                                      TimePoint now) {
+  RoutingEffects effects;
+  HandleEvent(event, now, effects);
+  return effects;
+}
+
+void RoutingMachine::HandleEvent(const RoutingEvent& event,
+                                 TimePoint now,
+                                 RoutingEffects& effects) {
+  if (std::holds_alternative<TimePassed>(event)) {
+    Wake(now, effects);
+    return;
+  }
+  const GroupName& name = std::visit(
+      [](const auto& e) -> const GroupName& {
+        using Event = std::decay_t<decltype(e)>;
+        static const GroupName no_group;
+        if constexpr (std::is_same_v<Event, TimePassed>)
+          return no_group;
+        else if constexpr (std::is_same_v<Event, RequestArrived>)
+          return e.request.group;
+        else
+          return e.group;
+      },
+      event);
+  auto found = m_groups.find(name);
+  if (found == m_groups.end()) {
+    if (const auto* arrived = std::get_if<RequestArrived>(&event)) {
+      ++m_counts.arrived;
+      ++m_counts.refused;
+      effects.emplace_back(RefuseRequest{name, arrived->request.id,
+                                         RefusalReason::kUnknownGroup,
+                                         m_options.retry_back_off.longest});
+    }
+    if (!std::holds_alternative<GroupChanged>(event))
+      return;
+    found = m_groups.emplace(name, std::make_unique<GroupRouter>(name, *this))
+                .first;
+  }
+  GroupRouter& group = *found->second;
+  group.Prefetch();
+  if (std::holds_alternative<GroupRemoved>(event)) {
+    GroupRouter::Turn turn{now, effects};
+    group.Stop(turn);
+    m_groups.erase(found);
+    RebuildWakeups();
+    return;
+  }
+  Dispatch(group, event, now, effects);
+  Schedule(group, now);
+}
+
+void RoutingMachine::Dispatch(GroupRouter& group,
+                              const RoutingEvent& event,
+                              TimePoint now,
+                              RoutingEffects& effects) {
+  GroupRouter::Turn turn{now, effects};
+  if (const auto* changed = std::get_if<GroupChanged>(&event))
+    group.Change(*changed, turn);
+  else if (const auto* health = std::get_if<InstanceHealthChanged>(&event))
+    group.SetHealth(*health, turn);
+  else if (const auto* arrived = std::get_if<RequestArrived>(&event))
+    group.Arrive(arrived->request, turn);
+  else if (const auto* gone = std::get_if<CallerGone>(&event))
+    group.Abandon(gone->request, turn);
+  else if (const auto* answered = std::get_if<StatementAnswered>(&event))
+    group.Answer(*answered, turn);
+  else if (const auto* report = std::get_if<ReportArrived>(&event))
+    group.Report(*report, turn);
+  else if (const auto* opened = std::get_if<ConnectionOpened>(&event))
+    group.Opened(*opened, turn);
+  else if (const auto* lost = std::get_if<ConnectionLost>(&event))
+    group.Lost(*lost, turn);
+  else if (const auto* released = std::get_if<ConnectionReleased>(&event))
+    group.Released(*released, turn);
+}
+
+void RoutingMachine::Schedule(GroupRouter& group, TimePoint soonest) {
+  auto next = group.NextWakeup(soonest);
+  if (next)
+    next = std::max(*next, soonest);
+  if (!next || (group.scheduled && *group.scheduled <= *next))
+    return;
+  group.scheduled = next;
+  m_wakeups.emplace_back(*next, &group);
+  std::push_heap(m_wakeups.begin(), m_wakeups.end(), std::greater<>());
+  if (m_wakeups.size() > kMostWakeupsPerGroup * m_groups.size())
+    RebuildWakeups();
+}
+
+void RoutingMachine::Wake(TimePoint now, RoutingEffects& effects) {
+  GroupRouter::Turn turn{now, effects};
+  while (!m_wakeups.empty() && m_wakeups.front().first <= now) {
+    std::pop_heap(m_wakeups.begin(), m_wakeups.end(), std::greater<>());
+    const auto [time, group] = m_wakeups.back();
+    m_wakeups.pop_back();
+    if (group->scheduled != time)
+      continue;
+    group->scheduled.reset();
+    group->Tick(turn);
+    Schedule(*group, now + kShortestSleep);
+  }
+}
+
+void RoutingMachine::RebuildWakeups() {
+  m_wakeups.clear();
+  for (const auto& [name, group] : m_groups) {
+    if (group->scheduled)
+      m_wakeups.emplace_back(*group->scheduled, group.get());
+  }
+  std::make_heap(m_wakeups.begin(), m_wakeups.end(), std::greater<>());
+}
+
+std::optional<TimePoint> RoutingMachine::NextWakeup() const {
+  if (m_wakeups.empty())
+    return std::nullopt;
+  return m_wakeups.front().first;
+}
+
+std::optional<RefusalReason> RoutingMachine::TakePlace(uint64_t class_hash,
+                                                       uint64_t caller_hash,
+                                                       size_t of_group) {
+  const auto share = [&](double part) {
+    return static_cast<size_t>(static_cast<double>(m_options.places) * part);
+  };
+  ++m_in_progress;
+  const size_t of_class = ++m_of_class[class_hash];
+  const size_t of_caller = ++m_of_caller[caller_hash];
+  if (m_in_progress > m_options.places)
+    return RefusalReason::kOverloaded;
+  if (of_group > share(m_options.group_share) ||
+      of_class > share(m_options.admission.class_share) ||
+      of_caller > share(m_options.admission.caller_share))
+    return RefusalReason::kShareExceeded;
+  return std::nullopt;
+}
+
+void RoutingMachine::ReturnPlace(uint64_t class_hash, uint64_t caller_hash) {
+  --m_in_progress;
+  if (--m_of_class[class_hash] == 0)
+    m_of_class.erase(class_hash);
+  if (--m_of_caller[caller_hash] == 0)
+    m_of_caller.erase(caller_hash);
+}
+
+std::vector<InstanceStatus> RoutingMachine::Status(const GroupName& group,
+                                                   TimePoint now) const {
+  const auto found = m_groups.find(group);
+  if (found == m_groups.end())
+    return {};
+  return found->second->Status(now);
+}
+
+}  // namespace jackdawturn::routing
--- /dev/null
+++ b/libraries/routing/slot_limit.cc
@@ -0,0 +1,142 @@
+#include "routing/slot_limit.h"
+
+#include <algorithm>
+
+namespace jackdawturn::routing {
+
+namespace {
+
+constexpr int kSmoothingParts = 8;
+constexpr Duration kHalfLife{500'000};
+constexpr int64_t kMostHalvings = 10;
+
+Duration Scale(Duration duration, double factor) {
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+SlotLimit::SlotLimit(SlotOptions options)
+    : m_options(options), m_limit(options.first_limit) {}
+
+Duration SlotLimit::AnswerTime(TimePoint now) const {
+  if (m_answer_time == Duration(0))
+    return m_options.first_answer_time;
+  const int64_t halvings =
+      std::clamp<int64_t>((now - m_last_answer) / kHalfLife, 0, kMostHalvings);
+  return std::max(Duration(1), m_answer_time / (int64_t{1} << halvings));
+}
+
+Duration SlotLimit::AnswerBound(TimePoint now) const {
+  const Duration time = AnswerTime(now);
+  if (m_answer_time == Duration(0))
+    return time;
+  return time + 2 * std::min(m_deviation, time);
+}
+
+Duration SlotLimit::ServiceTime(TimePoint now) const {
+  return std::min({AnswerTime(now), m_fastest, m_previous_fastest});
+}
+
+TimePoint SlotLimit::PacedSend(TimePoint now) const {
+  return m_last_sent + Scale(ServiceTime(now), 1 / m_limit);
+}
+
+bool SlotLimit::CanSend(TimePoint now) const {
+  const bool can =
+      m_limit >= 1 ? m_in_progress < static_cast<size_t>(m_limit)
+                   : m_in_progress == 0 &&
+                         (m_last_sent == TimePoint() || now >= PacedSend(now));
+  m_limited = m_limited || !can;
+  return can;
+}
+
+std::optional<TimePoint> SlotLimit::NextSend(TimePoint now) const {
+  if (m_limit >= 1)
+    return m_in_progress < static_cast<size_t>(m_limit) ? std::optional(now)
+                                                        : std::nullopt;
+  return m_in_progress == 0 ? std::optional(std::max(now, PacedSend(now)))
+                            : std::nullopt;
+}
+
+void SlotLimit::Sent(TimePoint now) {
+  ++m_in_progress;
+  m_last_sent = now;
+}
+
+void SlotLimit::Answered(TimePoint sent_at, TimePoint now) {
+  Lost();
+  const Duration sample = now - sent_at;
+  if (m_answer_time == Duration(0)) {
+    m_answer_time = sample;
+    m_deviation = sample / 2;
+  } else {
+    const Duration error = sample - m_answer_time;
+    m_answer_time += error / kSmoothingParts;
+    m_deviation += (std::chrono::abs(error) - m_deviation) / kSmoothingParts;
+  }
+  m_last_answer = now;
+  UpdateBaseline(sample, now);
+  UpdateLimit(now);
+}
+
+void SlotLimit::Lost() {
+  if (m_in_progress > 0)
+    --m_in_progress;
+}
+
+void SlotLimit::UpdateBaseline(Duration answer_time, TimePoint now) {
+  if (now - m_window_start >= m_options.baseline_window) {
+    m_previous_fastest = m_fastest;
+    m_fastest = Duration::max();
+    m_window_start = now;
+  }
+  m_batch_sum += answer_time;
+  if (++m_batch_count < m_options.batch)
+    return;
+  m_fastest =
+      std::min(m_fastest, m_batch_sum / static_cast<int64_t>(m_batch_count));
+  m_batch_count = 0;
+  m_batch_sum = Duration(0);
+}
+
+void SlotLimit::UpdateLimit(TimePoint now) {
+  const Duration fastest = std::min(m_fastest, m_previous_fastest);
+  const bool queued =
+      fastest != Duration::max() &&
+      m_answer_time > std::max(Scale(fastest, m_options.queued_ratio),
+                               fastest + m_options.shortest_queue);
+  if (queued) {
+    // One decrease for each answer time, as later answers show the same queue.
+    if (now - m_last_decrease < m_answer_time)
+      return;
+    m_limit = std::max(m_options.lowest, m_limit * m_options.decrease);
+    m_last_decrease = now;
+  } else if (m_limited) {
+    m_limit = std::min(m_options.slots,
+                       m_limit + m_options.increase / std::max(1.0, m_limit));
+    m_limited = false;
+  }
+}
+
+Duration SlotLimit::Spacing(TimePoint now) const {
+  if (m_limit >= 1)
+    return Scale(AnswerTime(now), 1 / m_limit);
+  // One statement at a time, and no more often than the pace allows.
+  return std::max(AnswerTime(now), Scale(ServiceTime(now), 1 / m_limit));
+}
+
+Duration SlotLimit::ExpectedWait(TimePoint now) const {
+  if (const auto next = NextSend(now))
+    return *next - now;
+  const Duration left = m_last_sent + AnswerTime(now) - now;
+  const Duration staggered =
+      AnswerTime(now) / static_cast<int64_t>(m_in_progress + 1);
+  const Duration wait = std::max(staggered, std::min(left, staggered));
+  if (m_limit >= 1)
+    return wait;
+  return std::max(wait, PacedSend(now) - now);
+}
+
+}  // namespace jackdawturn::routing
--- /dev/null
+++ b/tests/failover/suspicion_detector_test.cc
@@ -0,0 +1,163 @@
+#include <string>
+#include <vector>
+
+#include "failover/failover.h"
+
+#include "support/table_test.h"
+
+namespace jackdawturn::failover {
+
+using std::chrono::milliseconds;
+
+static const InstanceName kInstance("i1");
+static const TimePoint kStart(std::chrono::hours(1));
+
+// Answers every 30 ms with the given round trip, so that the detector knows it.
+static SuspicionDetector Trained(milliseconds round_trip) {
+  SuspicionDetector detector{SuspicionSettings()};
+  for (int index = 60; index > 0; --index) {
+    const TimePoint time = kStart - index * milliseconds(30);
+    detector.ContactStarted(kInstance, time);
+    detector.ContactEnded(kInstance, ContactOutcome::kAnswered, false,
+                          round_trip, time + round_trip);
+  }
+  return detector;
+}
+
+struct LevelCase {
+  const char* name;
+  milliseconds round_trip;
+  // Outcomes of fresh contacts, the first at 20 ms, then each 20 ms.
+  std::vector<ContactOutcome> outcomes;
+  milliseconds silence;
+  bool dead;
+};
+
+static const ContactOutcome kNo = ContactOutcome::kNoAnswer;
+static const ContactOutcome kGone = ContactOutcome::kNotConnected;
+static const ContactOutcome kReset = ContactOutcome::kRefused;
+static const ContactOutcome kYes = ContactOutcome::kAnswered;
+
+static const LevelCase kLevelCases[] = {
+    {"silence alone", milliseconds(3), {}, milliseconds(200), false},
+    {"long silence", milliseconds(3), {}, milliseconds(360), true},
+    {"process refused twice",
+     milliseconds(3),
+     {kReset, kReset},
+     milliseconds(60),
+     true},
+    {"process refused once",
+     milliseconds(3),
+     {kReset},
+     milliseconds(60),
+     false},
+    {"host gone",
+     milliseconds(3),
+     {kGone, kGone, kGone},
+     milliseconds(160),
+     true},
+    {"host gone, too early",
+     milliseconds(3),
+     {kGone, kGone, kGone},
+     milliseconds(140),
+     false},
+    {"two lost handshakes",
+     milliseconds(3),
+     {kGone, kGone},
+     milliseconds(160),
+     false},
+    {"paused process, lost handshakes",
+     milliseconds(3),
+     {kGone, kNo, kGone, kGone},
+     milliseconds(300),
+     false},
+    {"answered in between",
+     milliseconds(3),
+     {kReset, kReset, kYes},
+     milliseconds(360),
+     false},
+    {"slow network, host gone",
+     milliseconds(60),
+     {kGone, kGone, kGone},
+     milliseconds(300),
+     false},
+    {"slow network, silence",
+     milliseconds(60),
+     {kNo},
+     milliseconds(400),
+     false},
+};
+
+// Guards against a slow or paused primary that is taken for dead, and against a
+// dead one that is waited for as if it were slow.
+TABLE_TEST(suspicion, level_follows_from_the_kind_of_failure, kLevelCases) {
+  const LevelCase& row = kLevelCases[*row_index];
+  SuspicionDetector detector = Trained(row.round_trip);
+  detector.ContactStarted(kInstance, kStart);
+  TimePoint time = kStart;
+  for (const ContactOutcome outcome : row.outcomes) {
+    time += milliseconds(20);
+    detector.ContactEnded(kInstance, outcome, true, Duration(0), time);
+  }
+  const bool dead = detector.Level(kInstance, kStart + row.silence) >= 1;
+  cr_assert_eq(dead, row.dead, "%s", row.name);
+}
+
+// Guards against a proxy that blames an instance for its own pause.
+Test(suspicion, own_pause_forgets_silence) {
+  SuspicionDetector detector = Trained(milliseconds(3));
+  detector.ContactStarted(kInstance, kStart);
+  const TimePoint late = kStart + milliseconds(800);
+  cr_assert_not(detector.NoticePause(late - milliseconds(10), late));
+  cr_assert_geq(detector.Level(kInstance, late), 1.0);
+  cr_assert(detector.NoticePause(kStart + milliseconds(20), late));
+  cr_assert_eq(detector.Level(kInstance, late), 0.0);
+  cr_assert(detector.RecentlyPaused(late + milliseconds(200)));
+  cr_assert_not(detector.RecentlyPaused(late + milliseconds(300)));
+}
+
+// Guards against a proxy on a slow machine that takes itself for paused without
+// end, and against one that takes two pauses in a row for a slow machine.
+Test(suspicion, always_late_timers_are_no_pause) {
+  SuspicionDetector detector = Trained(milliseconds(3));
+  constexpr int kTimers = 15;
+  const TimePoint late = kStart + milliseconds(80);
+  for (int timer = 0; timer < kTimers; ++timer)
+    cr_expect(detector.NoticePause(kStart, late));
+  cr_expect_not(detector.NoticePause(kStart, late));
+  cr_expect(detector.NoticePause(kStart, kStart + milliseconds(800)));
+  cr_expect(detector.NoticePause(kStart, kStart + milliseconds(800)));
+}
+
+struct WitnessCase {
+  const char* name;
+  int answered_ago;  // In milliseconds; negative for never.
+  bool failing;
+  int age;  // Of the witness's answer, in milliseconds.
+  WitnessVerdict verdict;
+};
+
+static const WitnessCase kWitnessCases[] = {
+    {"reaches it", 5, false, 0, WitnessVerdict::kDisagrees},
+    {"reached it before the silence", 150, false, 0, WitnessVerdict::kUnknown},
+    {"fails as well", 150, true, 0, WitnessVerdict::kAgrees},
+    {"never reached it", -1, true, 0, WitnessVerdict::kAgrees},
+    {"old answer", 150, true, 200, WitnessVerdict::kUnknown},
+};
+
+// Guards against a change although another zone reaches the primary.
+TABLE_TEST(suspicion, witnesses_are_heard, kWitnessCases) {
+  const WitnessCase& row = kWitnessCases[*row_index];
+  SuspicionDetector detector = Trained(milliseconds(3));
+  detector.ContactStarted(kInstance, kStart);
+  WitnessView view;
+  view.failing = row.failing;
+  if (row.answered_ago >= 0)
+    view.answered_ago = milliseconds(row.answered_ago);
+  const TimePoint heard = kStart + milliseconds(100);
+  detector.WitnessAnswered(VmName("p2"), kInstance, view, heard);
+  cr_assert_eq(detector.Witnesses(kInstance, heard + milliseconds(row.age)),
+               row.verdict, "%s", row.name);
+}
+
+}  // namespace jackdawturn::failover
--- /dev/null
+++ b/tests/proxy/relay_host_test.cc
@@ -0,0 +1,384 @@
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "proxy/proxy.h"
+#include "proxy/relay_host.h"
+
+#include "support/fake_relay_port.h"
+#include "support/table_test.h"
+
+namespace jackdawturn::proxy {
+
+static constexpr size_t kQueueLimit = 2;
+static const GroupName kGroup("g");
+
+// One proxy: its RelayHost with a stand-in for the requests it serves.
+class RelayNode {
+ public:
+  RelayNode(FakeRelayNetwork& network, const std::string& vm, size_t number)
+      : m_options(OptionsOf(vm)),
+        m_context(m_options),
+        m_endpoint{"10.0.0." + std::to_string(number), 7400},
+        m_host(m_context, m_options, HooksOf()) {
+    m_context.SetNow(TimePoint());
+    m_port = network.Open(m_endpoint, m_options.vm, [this](RelayEvent event) {
+      std::visit([this](const auto& item) { m_host.On(item); }, event);
+      Execute();
+    });
+  }
+
+  void Ask(const CallerRequest& request) {
+    m_host.On(CallerArrived{CallerCall{++m_last_call}, request});
+    Execute();
+  }
+  // Ends what this proxy serves.
+  void Serve(CallerOutcome outcome) {
+    for (const CallerArrived& event : std::exchange(m_serving, {})) {
+      CallerAnswer answer;
+      answer.outcome = outcome;
+      answer.value = m_options.vm.value();
+      if (event.request.operation == CallerOperation::kBegin)
+        answer.transaction = MakeTransactionId(m_options.vm, "abc");
+      m_host.Answered(
+          {event.call, answer, event.request.class_name, Duration(0), {}});
+    }
+    Execute();
+  }
+  void Execute() {
+    for (Effect& effect : m_context.TakeEffects()) {
+      if (auto* command = std::get_if<RelayCommand>(&effect))
+        m_port->Send(std::move(*command));
+      else if (auto* answer = std::get_if<AnswerCaller>(&effect))
+        m_answers.push_back(answer->answer);
+    }
+  }
+
+  std::string address() const { return m_endpoint.ToString(); }
+
+  // The proxies that hold the group, as this one believes.
+  std::vector<std::string> m_holders;
+  std::map<VmName, std::string> m_addresses;
+  bool m_draining = false;
+  std::optional<VmName> m_learned;
+  std::vector<CallerArrived> m_serving;
+  std::vector<CallerAnswer> m_answers;
+  ProxyContext& context() { return m_context; }
+
+ private:
+  static ProxyOptions OptionsOf(const std::string& vm) {
+    ProxyOptions options;
+    options.vm = VmName(vm);
+    return options;
+  }
+  bool Holds() const {
+    return std::count(m_holders.begin(), m_holders.end(),
+                      m_options.vm.value()) != 0;
+  }
+  RelayHost::Hooks HooksOf() {
+    return {[] { return true; },
+            [this] { return m_draining; },
+            [](const GroupName& group) { return group == kGroup; },
+            [this](const GroupName&) { return !Holds(); },
+            [this](const GroupName&,
+                   uint64_t spread) -> Result<fleet::RelayTarget> {
+              if (m_holders.empty())
+                return Failure(ErrorCode::kUnavailable, "test", "", "");
+              return fleet::RelayTarget{
+                  VmName(m_holders[spread % m_holders.size()]), true};
+            },
+            [this](const VmName& vm) -> std::optional<std::string> {
+              const auto found = m_addresses.find(vm);
+              if (found == m_addresses.end())
+                return std::nullopt;
+              return found->second;
+            },
+            [this](const GroupName&, const VmName& vm) { m_learned = vm; },
+            [this](const CallerArrived& event) { m_serving.push_back(event); },
+            [] {}};
+  }
+
+  const ProxyOptions m_options;
+  ProxyContext m_context;
+  const Endpoint m_endpoint;
+  RelayHost m_host;
+  std::unique_ptr<RelayPort> m_port;
+  uint64_t m_last_call = 0;
+};
+
+// `entry` holds nothing and relays to `first` and `second`.
+struct RelayRig {
+  RelayRig() {
+    for (RelayNode* node : {&entry, &first, &second}) {
+      node->m_holders = {"second", "first"};
+      node->m_addresses = {{VmName("entry"), entry.address()},
+                           {VmName("first"), first.address()},
+                           {VmName("second"), second.address()}};
+    }
+  }
+  // The only answer that the caller got.
+  const CallerAnswer& Answer() const {
+    cr_assert(entry.m_answers.size() == 1);
+    return entry.m_answers.front();
+  }
+
+  FakeRelayNetwork network{kQueueLimit};
+  RelayNode entry{network, "entry", 1};
+  RelayNode first{network, "first", 2};
+  RelayNode second{network, "second", 3};
+};
+
+static CallerRequest RequestOf(CallerOperation operation) {
+  CallerRequest request;
+  request.operation = operation;
+  request.group = kGroup;
+  request.class_name = ClassName("c");
+  request.request = RequestId("r");
+  request.statement = "s";
+  request.digest = 7;
+  return request;
+}
+
+static const CallerOperation kOperations[] = {
+    CallerOperation::kRead, CallerOperation::kWrite, CallerOperation::kBegin,
+    CallerOperation::kOutcome};
+
+// Guards against a request that is served without connections, or by two
+// proxies, and against a deadline that grows on the way.
+TABLE_TEST(relay_host, request_reaches_one_holder, kOperations) {
+  RelayRig rig;
+  CallerRequest request = RequestOf(kOperations[*row_index]);
+  request.token = "token";
+  request.deadline = std::chrono::milliseconds(100);
+  rig.entry.Ask(request);
+  rig.network.Step();
+  cr_assert(rig.entry.m_serving.empty());
+  cr_assert(rig.second.m_serving.empty());
+  cr_assert(rig.first.m_serving.size() == 1);
+  const CallerRequest& received = rig.first.m_serving[0].request;
+  cr_assert(received.operation == request.operation);
+  cr_assert(received.statement == "s" && received.token == "token");
+  cr_assert(received.deadline > Duration(0));
+  cr_assert(received.deadline < request.deadline);
+  rig.first.Serve(CallerOutcome::kDone);
+  rig.network.Step();
+  cr_assert(rig.Answer().outcome == CallerOutcome::kDone);
+  cr_assert(rig.Answer().value == "first");
+}
+
+struct LossCase {
+  const char* name;
+  CallerOperation operation;
+  // The holder dies, or only its answer comes too late.
+  bool dies;
+  // The frame was given to the network.
+  bool written;
+  // What the second holder is asked; nothing if it is not asked.
+  std::optional<CallerOperation> asked;
+  // What it answers, and what the caller gets.
+  CallerOutcome second_answer;
+  CallerOutcome outcome;
+};
+
+using enum CallerOperation;
+using enum CallerOutcome;
+static const LossCase kLossCases[] = {
+    {"read, not written", kRead, true, false, kRead, kDone, kDone},
+    {"write, not written", kWrite, true, false, kWrite, kDone, kDone},
+    {"begin, not written", kBegin, true, false, kBegin, kDone, kDone},
+    {"read, dead", kRead, true, true, kRead, kDone, kDone},
+    {"read, late", kRead, false, true, kRead, kDone, kDone},
+    {"outcome, dead", kOutcome, true, true, kOutcome, kNotRun, kNotRun},
+    {"write, dead, done", kWrite, true, true, kOutcome, kDone, kDone},
+    {"write, dead, not run", kWrite, true, true, kOutcome, kNotRun, kNotRun},
+    {"write, late, done", kWrite, false, true, kOutcome, kDone, kDone},
+    {"write, dead, open", kWrite, true, true, kOutcome, kUnknown, kUnknown},
+    {"write, question invalid", kWrite, true, true, kOutcome, kInvalid,
+     kUnknown},
+    {"begin, dead", kBegin, true, true, {}, kDone, kNotRun},
+};
+
+// Guards against a write that runs twice, `not_run` for a write that ran, and
+// `unknown` where another holder can tell.
+TABLE_TEST(relay_host, lost_holder_leaves_truthful_outcome, kLossCases) {
+  const LossCase& row = kLossCases[*row_index];
+  RelayRig rig;
+  rig.entry.Ask(RequestOf(row.operation));
+  if (row.written) {
+    rig.network.Step();
+    cr_assert(rig.first.m_serving.size() == 1, "%s", row.name);
+  }
+  if (row.dies)
+    rig.network.Kill(rig.first.address());
+  else
+    rig.network.TimeOut();
+  rig.network.Step();
+  cr_assert(rig.second.m_serving.size() == (row.asked ? 1 : 0), "%s", row.name);
+  if (row.asked) {
+    const CallerRequest& asked = rig.second.m_serving[0].request;
+    cr_assert(asked.operation == *row.asked, "%s", row.name);
+    cr_assert(asked.request == RequestId("r") && asked.digest == 7, "%s",
+              row.name);
+  }
+  rig.second.Serve(row.second_answer);
+  // The late answer of the first holder must change nothing.
+  rig.first.Serve(kDone);
+  rig.network.Step();
+  cr_assert(rig.Answer().outcome == row.outcome, "%s", row.name);
+  cr_assert(row.outcome != kUnknown || rig.Answer().digest == 7, "%s",
+            row.name);
+}
+
+struct StepCase {
+  const char* name;
+  CallerOperation operation;
+  bool written;
+  std::optional<uint64_t> digest;
+  bool asked;
+  CallerOutcome outcome;
+};
+
+static const StepCase kStepCases[] = {
+    {"statement not written", kStatement, false, {}, false, kNotRun},
+    {"statement lost", kStatement, true, {}, false, kUnknown},
+    {"rollback lost", kRollback, true, {}, false, kUnknown},
+    {"commit not written", kCommit, false, 9, false, kUnknown},
+    {"commit lost", kCommit, true, 9, true, kDone},
+    {"commit lost without digest", kCommit, true, {}, false, kUnknown},
+};
+
+// Guards against a step that reaches another VM than the one that holds the
+// transaction, and against `not_run` for a step that may have run.
+TABLE_TEST(relay_host, step_goes_to_the_transactions_vm, kStepCases) {
+  const StepCase& row = kStepCases[*row_index];
+  RelayRig rig;
+  // The begin went through this proxy, so it knows group and class, which a
+  // commit does not name.
+  rig.entry.Ask(RequestOf(kBegin));
+  rig.network.Step();
+  rig.first.Serve(kDone);
+  rig.network.Step();
+  CallerRequest step;
+  step.operation = row.operation;
+  step.transaction = rig.Answer().transaction;
+  step.request = RequestId("r");
+  step.transaction_digest = row.digest;
+  rig.entry.m_answers.clear();
+  // The holder gives its group away; the transaction stays.
+  rig.first.m_holders = {"second"};
+  rig.entry.Ask(step);
+  if (row.written) {
+    rig.network.Step();
+    cr_assert(rig.first.m_serving.size() == 1, "%s", row.name);
+    cr_assert(rig.first.m_serving[0].request.transaction == step.transaction);
+  }
+  rig.network.Kill(rig.first.address());
+  rig.network.Step();
+  cr_assert(rig.second.m_serving.size() == (row.asked ? 1 : 0), "%s", row.name);
+  if (row.asked)
+    cr_assert(rig.second.m_serving[0].request.digest == 9, "%s", row.name);
+  rig.second.Serve(kDone);
+  rig.network.Step();
+  cr_assert(rig.Answer().outcome == row.outcome, "%s", row.name);
+}
+
+// Guards against a second hop, and against a relay that goes on asking a proxy
+// that does not hold the group.
+Test(relay_host, wrong_holder_names_the_right_one) {
+  RelayRig rig;
+  rig.entry.m_holders = {"first"};
+  rig.first.m_holders = {"second"};
+  rig.second.m_holders = {"second"};
+  // The second holder is in another zone, of which only the first knows.
+  rig.entry.m_addresses.erase(VmName("second"));
+  rig.entry.Ask(RequestOf(kWrite));
+  rig.network.Step();
+  cr_assert(rig.first.m_serving.empty());
+  rig.network.Step();
+  cr_assert(rig.entry.m_learned == VmName("second"));
+  cr_assert(rig.second.m_serving.size() == 1);
+  cr_assert(rig.second.m_serving[0].request.operation == kWrite);
+  rig.second.Serve(kDone);
+  rig.network.Step();
+  cr_assert(rig.Answer().outcome == kDone);
+}
+
+// Guards against a holder that drains and loses an answer, or takes a new
+// transaction that it would have to cut.
+Test(relay_host, draining_holder_ends_its_work) {
+  RelayRig rig;
+  rig.entry.Ask(RequestOf(kWrite));
+  rig.network.Step();
+  rig.first.m_draining = true;
+  rig.first.m_holders = {"second"};
+  rig.entry.Ask(RequestOf(kWrite));  // Goes to `second` by its spread.
+  rig.entry.Ask(RequestOf(kBegin));  // Goes to `first`, which refuses it.
+  rig.network.Step();
+  rig.network.Step();
+  cr_assert(rig.first.m_serving.size() == 1);
+  cr_assert(rig.second.m_serving.size() == 2);
+  rig.first.Serve(kDone);
+  rig.second.Serve(kDone);
+  rig.network.Step();
+  cr_assert(rig.entry.m_answers.size() == 3);
+  for (const CallerAnswer& answer : rig.entry.m_answers)
+    cr_assert(answer.outcome == kDone);
+}
+
+struct FullCase {
+  CallerOperation operation;
+  bool retry;
+  CallerOutcome outcome;
+};
+
+static const FullCase kFullCases[] = {{kRead, false, kNotRun},
+                                      {kWrite, false, kNotRun},
+                                      {kWrite, true, kUnknown},
+                                      {kOutcome, false, kUnknown}};
+
+// Guards against a request that waits without bound for full connections, and
+// against `not_run` for one that an earlier submission may have run.
+TABLE_TEST(relay_host, full_queues_refuse, kFullCases) {
+  const FullCase& row = kFullCases[*row_index];
+  RelayRig rig;
+  for (size_t index = 0; index < 2 * kQueueLimit; ++index)
+    rig.entry.Ask(RequestOf(kRead));
+  cr_assert(rig.entry.m_answers.empty());
+  CallerRequest request = RequestOf(row.operation);
+  request.retry = row.retry;
+  rig.entry.Ask(request);
+  cr_assert(rig.Answer().outcome == row.outcome);
+  cr_assert(rig.Answer().reason == "overloaded");
+}
+
+// Guards against a relay where every proxy holds every group, and against one
+// that does not end when no holder is known.
+Test(relay_host, holder_serves_and_lone_proxy_refuses) {
+  RelayRig rig;
+  rig.first.Ask(RequestOf(kWrite));
+  cr_assert(rig.first.m_serving.size() == 1);
+  rig.entry.m_holders.clear();
+  rig.entry.Ask(RequestOf(kWrite));
+  cr_assert(rig.Answer().outcome == kNotRun);
+  cr_assert(rig.Answer().reason == "no_holder");
+}
+
+// Guards against a request that is still tried when its deadline has passed.
+Test(relay_host, deadline_ends_the_attempts) {
+  RelayRig rig;
+  CallerRequest request = RequestOf(kRead);
+  request.deadline = std::chrono::milliseconds(100);
+  rig.entry.Ask(request);
+  rig.network.Step();
+  rig.entry.context().SetNow(TimePoint() + std::chrono::milliseconds(100));
+  rig.network.Kill(rig.first.address());
+  rig.network.Step();
+  cr_assert(rig.second.m_serving.empty());
+  cr_assert(rig.Answer().outcome == kNotRun);
+}
+
+}  // namespace jackdawturn::proxy
--- /dev/null
+++ b/tests/requests/fault_channel.h
@@ -0,0 +1,204 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+#include "requests/requests.h"
+#include "sessions/sessions.h"
+
+#include "fault_servers.h"
+
+namespace jackdawturn::requests {
+
+// Decisions that are broken on purpose. All are made in the wiring of this
+// file, around the machines.
+enum class Mutant {
+  kNone,
+  kNoConfirmation,      // `done` as soon as the primary has answered.
+  kUnknownIsNotRun,     // An unknown outcome is answered as `not_run`.
+  kRefusalNotSent,      // `not_run` is answered without a ledger entry.
+  kRetryUnderNewId,     // A write without an answer is sent under a new id.
+  kNoRefusal,           // Nothing is done about a missing answer.
+  kNoReports,           // Reports of replicas are lost.
+  kPositionIgnored,     // A replica serves whatever it has.
+  kTokenNotUpdated,     // The new position does not reach the token.
+  kFreshReadUnchecked,  // A primary's word is taken for its term.
+  kAnswersCrossed,      // An answer goes to the caller that came last.
+  kDirtyConnection,     // A connection is handed on with its transaction.
+};
+
+// What a caller gets; one of the first three is set.
+struct CallerReply {
+  std::optional<Answer> answer;
+  std::optional<Result<std::string>> statement;
+  std::optional<ReadReply> read;
+  std::string token;
+};
+using ReplyHook = std::function<void(const CallerReply&)>;
+
+// What a proxy has in common for all requests: calls to instances, timers and
+// replies to callers.
+class FaultChannel {
+ public:
+  FaultChannel(FaultServers& servers,
+               const SessionTokenCodec& codec,
+               size_t index,
+               Mutant mutant)
+      : m_servers(servers),
+        m_codec(codec),
+        m_index(index),
+        m_mutant(mutant),
+        m_view(servers.view()) {}
+
+  std::string node() const { return ProxyNode(m_index); }
+
+  // Connections to `instance` that are in use now, shared or pinned.
+  std::vector<uint64_t> Connections(size_t instance) const {
+    std::vector<uint64_t> connections = {m_shared[instance]};
+    for (const auto& [at, connection] : m_open) {
+      if (at == instance)
+        connections.push_back(connection.value);
+    }
+    return connections;
+  }
+
+ protected:
+  struct Waiting {
+    std::string token;
+    ReplyHook hook;
+  };
+
+  template <typename Map>
+  static std::vector<uint64_t> Keys(const Map& map) {
+    std::vector<uint64_t> keys;
+    for (const auto& item : map)
+      keys.push_back(item.first);
+    return keys;
+  }
+
+  uint64_t Register(std::string token, ReplyHook hook) {
+    m_last_reply = ++m_last_key;
+    m_replies[m_last_key] = Waiting{std::move(token), std::move(hook)};
+    return m_last_key;
+  }
+
+  void Reply(uint64_t key,
+             CallerReply reply,
+             std::optional<TermPosition> confirmed) {
+    if (m_mutant == Mutant::kAnswersCrossed && m_last_reply > key &&
+        m_replies.count(m_last_reply) != 0)
+      key = m_last_reply;
+    const auto found = m_replies.find(key);
+    if (found == m_replies.end())
+      return;
+    SessionPositions positions = m_codec.Decode(found->second.token).value();
+    if (confirmed && m_mutant != Mutant::kTokenNotUpdated)
+      positions.Record(m_view.record.group, *confirmed);
+    reply.token = m_codec.Encode(positions);
+    const ReplyHook hook = std::move(found->second.hook);
+    m_replies.erase(found);
+    if (m_servers.Has(Fault::kLostAnswer) && m_servers.Chance(15))
+      return;
+    m_servers.network().Send(node(), "callers", [hook, reply] { hook(reply); });
+  }
+
+  // One call to an instance over `connection`; errors only if it is down.
+  template <typename Reply>
+  void Call(size_t instance,
+            uint64_t connection,
+            std::function<Reply(DatabaseInstance&)> serve,
+            std::function<void(const Reply&)> deliver,
+            bool may_repeat = false) {
+    const std::string to = InstanceNode(instance);
+    if (m_servers.Silent(m_index, instance, connection))
+      return;
+    if constexpr (!std::is_same_v<Reply, InstanceReport>) {
+      if (!m_servers.network().IsUp(to) && m_servers.Chance(50)) {
+        m_servers.network().After(node(), Milliseconds(1), [deliver, to] {
+          deliver(Failure(ErrorCode::kUnavailable, "call", to, "refused"));
+        });
+        return;
+      }
+    }
+    m_servers.network().Send(node(), to, [=, this] {
+      const Reply reply = serve(m_servers.instance(instance));
+      m_servers.AfterAppend(instance);
+      const bool lost =
+          m_servers.Has(Fault::kLostAnswer) && m_servers.Chance(25);
+      if (!lost && !m_servers.Silent(m_index, instance, connection))
+        m_servers.network().Send(to, node(), [=] { deliver(reply); });
+    });
+    // A copy that the network delivers late; its answer goes to nobody.
+    if (may_repeat && m_servers.Has(Fault::kLateDuplicate) &&
+        m_servers.Chance(30))
+      m_servers.scheduler().After(
+          Milliseconds(5 + m_servers.Below(900)), [=, this] {
+            m_servers.network().Send("late", to, [=, this] {
+              (void)serve(m_servers.instance(instance));
+              m_servers.AfterAppend(instance);
+            });
+          });
+  }
+
+  // Runs a machine's wakeup when its time has come.
+  template <typename Next, typename Fire>
+  void Schedule(Next next, Fire fire) {
+    const std::optional<TimePoint> wakeup = next();
+    if (!wakeup)
+      return;
+    const Duration delay =
+        std::max(Duration(0), Duration(*wakeup - m_servers.now()));
+    m_servers.network().After(node(), delay, [next, fire, wakeup] {
+      // A later timer exists when the wakeup has moved.
+      if (next() == wakeup)
+        fire();
+    });
+  }
+
+  void SendReport(const AskReport& ask,
+                  std::function<void(const InstanceReported&)> deliver) {
+    const size_t instance = IndexOf(ask.instance);
+    const std::string to = InstanceNode(instance);
+    m_servers.network().Send(node(), to, [=, this] {
+      m_servers.WhenReached(
+          instance, ask.wait_position.value_or(LogPosition()),
+          [=, this](const InstanceReport& report) {
+            m_servers.network().Send(to, node(), [=] {
+              deliver(InstanceReported{ask.call, ask.instance, report});
+            });
+          });
+    });
+  }
+
+  void Keep(size_t instance, ConnectionId connection) {
+    if (m_open.count({instance, connection}) != 0)
+      m_free.push_back({instance, connection});
+  }
+
+  void ForgetReplies() {
+    m_replies.clear();
+    m_free.clear();
+    m_last_reply = 0;
+  }
+
+  FaultServers& m_servers;
+  const SessionTokenCodec& m_codec;
+  size_t m_index;
+  Mutant m_mutant;
+  GroupView m_view;
+  uint64_t m_last_key = 0;
+  uint64_t m_last_reply = 0;
+  std::map<uint64_t, Waiting> m_replies;
+  // Shared connections count from here, so that they differ from pinned ones.
+  static constexpr uint64_t kFirstShared = 1'000'000;
+  uint64_t m_shared[kInstances] = {kFirstShared, kFirstShared, kFirstShared};
+  std::set<std::pair<size_t, ConnectionId>> m_open;
+  std::vector<std::pair<size_t, ConnectionId>> m_free;
+};
+
+}  // namespace jackdawturn::requests
