Observe: Write events to standard output without waiting for its reader

Cause: events went to standard error through glog on a thread behind a ring that dropped the newest event whatever it said. A reader that stopped also stopped the end of the process. Refused reads, refused transactions and requests refused by a full ring had no line, and outages of the platform none.

Change: EventLog writes events on a thread of its own; EventLogQueue drops lines of successful requests first and counts what it drops.

--- a/libraries/core/event_line.cc
+++ b/libraries/core/event_line.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <cctype>
 
-#include <glog/logging.h>
-
 namespace jackdawturn {
 
 namespace {
@@ -49,8 +47,4 @@
   return *this;
 }
 
-void EventLine::Log() const {
-  LOG(INFO) << m_text;
-}
-
 }  // namespace jackdawturn
--- a/libraries/core/event_line.h
+++ b/libraries/core/event_line.h
@@ -24,9 +24,6 @@
 
   const std::string& text() const { return m_text; }
 
-  // Writes the line to the log at the level INFO.
-  void Log() const;
-
  private:
   std::string m_text;
 };
--- a/libraries/observe/observe.h
+++ b/libraries/observe/observe.h
@@ -3,6 +3,8 @@
 // Public header of the library observe.
 
 #include "observe/escape.h"             // IWYU pragma: export
+#include "observe/event_log.h"          // IWYU pragma: export
+#include "observe/event_log_queue.h"    // IWYU pragma: export
 #include "observe/event_ring.h"         // IWYU pragma: export
 #include "observe/hybrid_clock.h"       // IWYU pragma: export
 #include "observe/latency_quantiles.h"  // IWYU pragma: export
--- a/libraries/observe/proxy_metrics.cc
+++ b/libraries/observe/proxy_metrics.cc
@@ -153,4 +153,16 @@
                               });
 }
 
+void ProxyMetrics::AddLog(
+    const std::function<EventLogQueue::Dropped()>& dropped) {
+  const std::string name = "jackdawturn_log_dropped";
+  const std::string help = "Events that were dropped from the log.";
+  m_registry.AddGaugeFunction(
+      name, help, {{"importance", "routine"}},
+      [dropped] { return static_cast<double>(dropped().routine); });
+  m_registry.AddGaugeFunction(
+      name, help, {{"importance", "failure"}},
+      [dropped] { return static_cast<double>(dropped().failures); });
+}
+
 }  // namespace jackdawturn
--- a/libraries/observe/proxy_metrics.h
+++ b/libraries/observe/proxy_metrics.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "core/core.h"
+#include "observe/event_log_queue.h"
 #include "observe/metrics.h"
 
 namespace jackdawturn {
@@ -86,6 +87,9 @@
   // Events of the time line that were overwritten; called when rendering.
   void AddTimeline(std::function<uint64_t()> overwritten);
 
+  // Events that were dropped from the log; called when rendering.
+  void AddLog(const std::function<EventLogQueue::Dropped()>& dropped);
+
  private:
   MetricRegistry& m_registry;
   std::array<MetricCounter*, 2> m_control_bytes{};
--- a/libraries/proxy/proxy_context.cc
+++ b/libraries/proxy/proxy_context.cc
@@ -63,9 +63,30 @@
     return;
   const OnPlatform on_answer = std::move(found->second);
   m_platform_calls.erase(found);
+  NoticePlatform(event.result);
   on_answer(event.result);
 }
 
+void ProxyContext::NoticePlatform(const Result<PlatformResponse>& result) {
+  const bool unreachable =
+      !result && (result.error().code == ErrorCode::kUnavailable ||
+                  result.error().code == ErrorCode::kTimeout);
+  if (unreachable && !m_platform_lost) {
+    m_platform_lost = m_now;
+    Record(EventKind::kPlatform, GroupName(), RequestId(), "lost",
+           result.error().peer,
+           {{std::string(kReasonField),
+             std::string(ToString(result.error().code))},
+            {"call", result.error().step},
+            {"message", result.error().message}});
+  } else if (!unreachable && m_platform_lost) {
+    const Duration away = m_now - *m_platform_lost;
+    m_platform_lost.reset();
+    Record(EventKind::kPlatform, GroupName(), RequestId(), "regained", "",
+           {{"away_us", std::to_string(away.count())}});
+  }
+}
+
 void ProxyContext::Record(EventKind kind,
                           const GroupName& group,
                           const RequestId& request,
--- a/libraries/proxy/proxy_context.h
+++ b/libraries/proxy/proxy_context.h
@@ -61,6 +61,9 @@
   std::string NewId();
 
  private:
+  // Records when the platform stops answering and when it answers again.
+  void NoticePlatform(const Result<PlatformResponse>& result);
+
   const VmName m_vm;
   const ClockTime m_wall_start;
   std::optional<TimePoint> m_start;
@@ -72,6 +75,8 @@
   uint64_t m_last_call = 0;
   std::map<uint64_t, OnBackend> m_backend_calls;
   std::map<uint64_t, OnPlatform> m_platform_calls;
+  // When the first call failed of those that failed in a row.
+  std::optional<TimePoint> m_platform_lost;
 };
 
 }  // namespace jackdawturn::proxy
--- a/libraries/proxy/request_host.h
+++ b/libraries/proxy/request_host.h
@@ -148,6 +148,9 @@
   void Answer(CallerCall call,
               CallerAnswer answer,
               std::optional<ReadRole> role = std::nullopt);
+  // Add the event of an answer to the time line.
+  void RecordDone(const Caller& caller, const requests::Answer& answer);
+  void RecordFailure(const Caller& caller, const CallerAnswer& answer);
   void Refuse(CallerCall call,
               std::string reason,
               std::string message = "",
--- a/libraries/runtime/proxy_process.cc
+++ b/libraries/runtime/proxy_process.cc
@@ -43,19 +43,6 @@
   return CountedOutcome::kInvalid;
 }
 
-void LogEvent(const TimelineEvent& event) {
-  EventLine line(std::string(ToString(event.kind)) + "." + event.step);
-  if (!event.group.empty())
-    line.Add("group", event.group);
-  if (!event.request.empty())
-    line.Add("request", event.request);
-  if (!event.peer.empty())
-    line.Add("peer", event.peer);
-  for (const auto& [key, value] : event.fields)
-    line.Add(key, value);
-  line.Log();
-}
-
 class ThreadedProxy : public ProxyProcess {
  public:
   explicit ThreadedProxy(ProxyProcessOptions options)
@@ -71,8 +58,11 @@
         m_platform(m_options.rings.platform),
         m_peers(m_options.rings.peers),
         m_relays(m_options.rings.relay),
-        m_operators(m_options.rings.callers),
-        m_event_log(m_options.rings.events) {}
+        m_operators(m_options.rings.callers) {
+    if (m_options.log_descriptor)
+      m_log.emplace(*m_options.log_descriptor,
+                    std::max<size_t>(2, m_options.rings.events));
+  }
 
   ~ThreadedProxy() override { ThreadedProxy::Stop(); }
 
@@ -98,10 +88,6 @@
     m_operators.Start([this](const AnswerOperator& answer) {
       m_operator_server->Answer(answer);
     });
-    m_event_log.Start([this](const TimelineEvent& event) {
-      if (m_options.log_events)
-        LogEvent(event);
-    });
     m_decider = std::thread([this] { Decide(); });
     return Success();
   }
@@ -139,7 +125,8 @@
     m_peers.Stop();
     m_relays.Stop();
     m_operators.Stop();
-    m_event_log.Stop();
+    if (m_log)
+      m_log->Stop();
   }
 
  private:
@@ -263,11 +250,37 @@
     add("platform", m_platform);
     add("peers", m_peers);
     add("relay", m_relays);
-    add("events", m_event_log);
+    if (!m_log)
+      return;
+    m_metrics.AddRing(
+        "events", [this] { return m_log->depth(); },
+        [this] { return m_log->dropped().total(); });
+    m_metrics.AddLog([this] { return m_log->dropped(); });
   }
 
   // --- Thread of the callers ---
 
+  // A request that never reached the decisions is not on the time line.
+  void LogFullRing(const CallerRequest& refused) {
+    if (!m_log)
+      return;
+    TimelineEvent event;
+    event.stamp.physical = WallClock();
+    event.vm = m_options.proxy.vm;
+    event.kind = EventKind::kAnswer;
+    event.group = refused.group;
+    event.request = refused.request;
+    event.step = "answered";
+    event.peer = refused.caller;
+    event.fields = {{"outcome", "not_run"},
+                    {"reason", "overloaded"},
+                    {"class", refused.class_name.value()},
+                    {"ring", "decisions"},
+                    {"ring_depth", std::to_string(m_decisions.depth())},
+                    {"ring_limit", std::to_string(m_new_work_limit)}};
+    m_log->Write(std::move(event));
+  }
+
   void OnCaller(const HttpRequest& http, HttpServer::Respond respond) {
     if (http.method != "POST")
       return respond(EncodeError(
@@ -289,6 +302,7 @@
     if (m_decisions.TryPush(arrived, m_new_work_limit))
       return;
     const CallerRequest& refused = std::get<CallerArrived>(arrived).request;
+    LogFullRing(refused);
     OnAnswer(
         {call, RefusalOf(refused, "overloaded"), refused.class_name, {}, {}});
   }
@@ -415,7 +429,8 @@
   }
   void Do(proxy::RecordEvent record) {
     m_events.Add(record.event);
-    m_event_log.TryPost(std::move(record.event));
+    if (m_log)
+      m_log->Write(std::move(record.event));
   }
   void Do(proxy::SetReady ready) { m_ready.store(ready.ready); }
   void Do(proxy::CloseAfterAnswers) {
@@ -453,7 +468,7 @@
   Duty<proxy::SendDatagram> m_peers;
   Duty<RelayCommand> m_relays;
   Duty<AnswerOperator> m_operators;
-  Duty<TimelineEvent> m_event_log;
+  std::optional<EventLog> m_log;
   std::unique_ptr<HttpServer> m_server;
   std::unique_ptr<OperatorServer> m_operator_server;
   std::unique_ptr<DatagramPort> m_datagrams;
--- a/libraries/runtime/proxy_process.h
+++ b/libraries/runtime/proxy_process.h
@@ -32,8 +32,9 @@
   HttpServerLimits operator_limits;
   RingSettings rings;
   size_t timeline_events = 16'384;
-  // Writes each event of the time line to the log.
-  bool log_events = true;
+  // Where the events of the time line are written; nothing is when empty. The
+  // descriptor stays open as long as the process runs.
+  std::optional<int> log_descriptor;
 };
 
 // Converts checked settings. `seed` must differ between proxies and between the
--- a/programs/jackdawturn/demo_world.cc
+++ b/programs/jackdawturn/demo_world.cc
@@ -7,6 +7,7 @@
 #include <thread>
 #include <utility>
 
+#include <unistd.h>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
@@ -127,7 +128,8 @@
     process.callers = process.operators = AnyPort();
     process.gossip = process.relay = AnyPort();
     process.platform = m_platform->endpoint();
-    process.log_events = options.log_events;
+    if (options.log_events)
+      process.log_descriptor = STDERR_FILENO;
     process.caller_limits.requests_per_second = 0;
     for (const auto& [name, group] : m_instances) {
       for (const auto& instance : group.instances)
--- a/programs/jackdawturn/serve_commands.cc
+++ b/programs/jackdawturn/serve_commands.cc
@@ -5,6 +5,7 @@
 #include <random>
 #include <string>
 
+#include <unistd.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -55,6 +56,7 @@
 Result<int> Serve(const std::string& path) {
   TRY(const Settings settings, LoadSettings(path));
   TRY(auto options, OptionsFrom(settings, RandomSeed()));
+  options.log_descriptor = STDOUT_FILENO;
   TRY(const auto process, ProxyProcess::Create(std::move(options)));
   std::cout << "operators=" << process->operators().ToString() << '\n'
             << "listening=" << process->callers().ToString() << std::endl;
--- /dev/null
+++ b/tests/proxy/platform_notice_test.cc
@@ -0,0 +1,73 @@
+#include <string>
+#include <variant>
+
+#include "proxy/proxy_context.h"
+
+#include "support/table_test.h"
+
+namespace jackdawturn {
+
+namespace {
+
+// Feeds an answer for each letter: a: answered, c: a conflict, u: unavailable,
+// t: timeout. Returns the steps that were recorded.
+std::string StepsAfter(const std::string& answers) {
+  proxy::ProxyContext context{proxy::ProxyOptions{}};
+  std::string steps;
+  TimePoint now{};
+  for (const char letter : answers) {
+    now += std::chrono::milliseconds(10);
+    context.SetNow(now);
+    Result<PlatformResponse> result = PlatformResponse();
+    if (letter == 'c')
+      result = Error{ErrorCode::kConflict, "platform.update", "platform", ""};
+    else if (letter == 'u')
+      result =
+          Error{ErrorCode::kUnavailable, "platform.update", "platform", ""};
+    else if (letter == 't')
+      result = Error{ErrorCode::kTimeout, "platform.update", "platform", ""};
+    context.Call(PlatformRequest(), std::chrono::seconds(1),
+                 [](const Result<PlatformResponse>&) {});
+    uint64_t call = 0;
+    for (const proxy::Effect& effect : context.TakeEffects()) {
+      if (const auto* sent = std::get_if<CallPlatform>(&effect))
+        call = sent->call;
+    }
+    context.Answered(PlatformAnswered{call, std::move(result)});
+    for (const proxy::Effect& effect : context.TakeEffects()) {
+      if (const auto* record = std::get_if<proxy::RecordEvent>(&effect))
+        steps += record->event.step + ' ';
+    }
+  }
+  return steps;
+}
+
+}  // namespace
+
+struct NoticeCase {
+  const char* answers;
+  const char* steps;
+};
+
+static const NoticeCase kNoticeCases[] = {
+    {"aaa", ""},
+    {"at", "lost "},
+    {"au", "lost "},
+    // One line for an outage, however many calls fail.
+    {"autut", "lost "},
+    {"auua", "lost regained "},
+    // A conflict is an answer of the platform.
+    {"aca", ""},
+    {"auc", "lost regained "},
+    {"uaua", "lost regained lost regained "},
+};
+
+// Guards against an outage of the platform without a line at its begin and its
+// end, and against a line for each failed call.
+TABLE_TEST(platform_notice, tells_of_each_outage_once, kNoticeCases) {
+  const NoticeCase& row = kNoticeCases[*row_index];
+  const std::string steps = StepsAfter(row.answers);
+  cr_assert_str_eq(steps.c_str(), row.steps, "%s", row.answers);
+}
+
+}  // namespace jackdawturn
--- a/tests/support/relay_world.h
+++ b/tests/support/relay_world.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -26,7 +27,10 @@
  public:
   static constexpr Duration kTimeout = std::chrono::seconds(20);
 
-  explicit RelayWorld(const RingSettings& rings = {}) : m_rings(rings) {
+  // Both proxies write their log to the descriptor.
+  explicit RelayWorld(const RingSettings& rings = {},
+                      std::optional<int> log_descriptor = std::nullopt)
+      : m_rings(rings), m_log_descriptor(log_descriptor) {
     const auto started = Start();
     VERIFY(started.has_value());
     VERIFY(Settle());
@@ -116,7 +120,7 @@
       options.instances = addresses;
       options.operator_keys = {"operator-key-for-tests-0123456789"};
       options.caller_limits.requests_per_second = 0;
-      options.log_events = false;
+      options.log_descriptor = m_log_descriptor;
       options.rings = m_rings;
       options.proxy.vm = VmOf(index);
       options.proxy.zone = options.proxy.routing.zone = ZoneName("zone-a");
@@ -158,6 +162,7 @@
   }
 
   const RingSettings m_rings;
+  const std::optional<int> m_log_descriptor;
   boost::asio::io_context m_context;
   std::unique_ptr<PlatformServer> m_platform;
   std::vector<std::unique_ptr<InstanceServer>> m_instances;
