Proxy: Log the failure of a relayed request

Cause: a request that no holder answered ended without a line on the proxy that its caller had asked, and the steps relay_refused and relay_lost counted as routine, so they were dropped first under load.

Change: RelayHost records each relayed request that is not done. Only the step "accepted" of a request is routine. The rig of relay_host_test checks that every failure has exactly one event, in all of its tables.

--- a/libraries/observe/event_log.h
+++ b/libraries/observe/event_log.h
@@ -34,14 +34,14 @@
   size_t depth() const;
   EventLogQueue::Dropped dropped() const;
 
-  // Ends the thread. Events that wait are written while the descriptor takes
-  // them; one that takes nothing ends this after kFlushTime.
+  // Ends the thread. Events that wait are written first; a descriptor that
+  // takes nothing delays this by 500 ms at most.
   void Stop();
 
  private:
   void Run();
-  // Returns the next line and the counts at this moment, waiting for an event;
-  // an empty line when the log stops and nothing is left.
+  // Waits for an event and returns its line, or a line about dropped events.
+  // Returns an empty text when the log stops and nothing is left.
   std::string NextLine();
   // Returns false when the descriptor takes nothing more.
   bool WriteLine(const std::string& line);
--- a/libraries/observe/event_log_queue.cc
+++ b/libraries/observe/event_log_queue.cc
@@ -6,7 +6,7 @@
 namespace jackdawturn {
 
 LogImportance ImportanceOf(const TimelineEvent& event) {
-  if (event.kind == EventKind::kRequest)
+  if (event.kind == EventKind::kRequest && event.step == kAcceptedStep)
     return LogImportance::kRoutine;
   if (event.kind == EventKind::kAnswer &&
       event.field(kOutcomeField) == kDoneOutcome)
--- a/libraries/observe/timeline_event.h
+++ b/libraries/observe/timeline_event.h
@@ -45,6 +45,10 @@
 inline constexpr std::string_view kPromoteStep = "promote";
 inline constexpr std::string_view kPublishStep = "publish";
 
+// The step of the kind kRequest of a request that was taken on; other steps of
+// this kind tell of trouble.
+inline constexpr std::string_view kAcceptedStep = "accepted";
+
 // An answer that a primary gave has the kind kAnswer, the fields kTermField and
 // kInstanceField, and these values of kRoleField and kOutcomeField.
 inline constexpr std::string_view kPrimaryRole = "primary";
--- a/libraries/proxy/relay_host.cc
+++ b/libraries/proxy/relay_host.cc
@@ -270,11 +270,28 @@
   if (answer.outcome != CallerOutcome::kDone &&
       answer.outcome != CallerOutcome::kInvalid && !answer.retry_after)
     answer.retry_after = kRetryAfter;
+  if (answer.outcome != CallerOutcome::kDone)
+    RecordFailure(relayed, answer);
   m_context.Emit(AnswerCaller{relayed.caller, std::move(answer),
                               relayed.request.class_name,
                               m_context.now() - relayed.arrived, std::nullopt});
 }
 
+void RelayHost::RecordFailure(const Relayed& relayed,
+                              const CallerAnswer& answer) {
+  const CallerRequest& request = relayed.request;
+  m_context.Record(
+      EventKind::kAnswer, request.group, request.request, "answered",
+      request.caller,
+      {{std::string(kOutcomeField), std::string(ToString(answer.outcome))},
+       {std::string(kReasonField), answer.reason},
+       {"operation", TargetOf(request.operation)},
+       {"class", request.class_name.value()},
+       {"holder", relayed.holder.value()},
+       {"waited_us",
+        std::to_string((m_context.now() - relayed.arrived).count())}});
+}
+
 void RelayHost::LearnHolder(Relayed& relayed, const RelayReply& reply) {
   if (reply.holder.empty() || reply.holder == m_options.vm)
     return;
--- a/libraries/proxy/relay_host.h
+++ b/libraries/proxy/relay_host.h
@@ -96,6 +96,8 @@
   void Lost(Relayed relayed);
   void GiveUp(const Relayed& relayed);
   void Finish(const Relayed& relayed, CallerAnswer answer);
+  // Adds the event of a relayed request that is not done to the time line.
+  void RecordFailure(const Relayed& relayed, const CallerAnswer& answer);
   void LearnHolder(Relayed& relayed, const RelayReply& reply);
   void Remember(const Relayed& relayed, const CallerAnswer& answer);
   void Reply(RelayArrival arrival, RelayReply reply);
--- a/libraries/proxy/request_host.cc
+++ b/libraries/proxy/request_host.cc
@@ -283,7 +283,7 @@
       std::make_unique<requests::RequestMachine>(m_options.requests);
   write.request = request;
   m_context.Record(EventKind::kRequest, request.group, request.request,
-                   "accepted", caller.request.caller);
+                   std::string(kAcceptedStep), caller.request.caller);
   Drive(call, requests::SubmitRequest{request, ViewOf(caller.request.group)});
 }
 
--- a/tests/observe/event_log_test.cc
+++ b/tests/observe/event_log_test.cc
@@ -24,6 +24,11 @@
     event.kind = EventKind::kFailover;
     event.fields.clear();
   }
+  if (letter == 'a' || letter == 'l') {
+    event.kind = EventKind::kRequest;
+    event.step = letter == 'a' ? std::string(kAcceptedStep) : "relay_lost";
+    event.fields.clear();
+  }
   return event;
 }
 
@@ -55,7 +60,8 @@
 }  // namespace
 
 struct QueueCase {
-  // r: a request that succeeded, f: one that failed, s: a step of a failover.
+  // a: a request that was taken on, r: one that succeeded, f: one that failed,
+  // l: one whose relay was lost, s: a step of a failover.
   const char* pushed;
   const char* kept;
   uint64_t dropped_routine;
@@ -68,6 +74,7 @@
     {"rf", "rf", 0, 0},
     // Routine events fill half of the places.
     {"rrrr", "rr", 2, 0},
+    {"aral", "arl", 1, 0},
     // Failures take the other half, and then the places of routine events.
     {"rrffff", "ffff", 2, 0},
     {"rrfffs", "fffs", 2, 0},
--- a/tests/proxy/relay_host_test.cc
+++ b/tests/proxy/relay_host_test.cc
@@ -55,6 +55,8 @@
         m_port->Send(std::move(*command));
       else if (auto* answer = std::get_if<AnswerCaller>(&effect))
         m_answers.push_back(answer->answer);
+      else if (auto* record = std::get_if<RecordEvent>(&effect))
+        m_failures += record->event.kind == EventKind::kAnswer ? 1 : 0;
     }
   }
 
@@ -67,6 +69,8 @@
   std::optional<VmName> m_learned;
   std::vector<CallerArrived> m_serving;
   std::vector<CallerAnswer> m_answers;
+  // Events that tell of a request that was not done.
+  size_t m_failures = 0;
   ProxyContext& context() { return m_context; }
 
  private:
@@ -120,10 +124,13 @@
                            {VmName("second"), second.address()}};
     }
   }
-  // The only answer that the caller got.
+  // The only answer that the caller got. A failure has exactly one event.
   const CallerAnswer& Answer() const {
     cr_assert(entry.m_answers.size() == 1);
-    return entry.m_answers.front();
+    const CallerAnswer& answer = entry.m_answers.front();
+    cr_assert_eq(entry.m_failures,
+                 answer.outcome == CallerOutcome::kDone ? 0U : 1U);
+    return answer;
   }
 
   FakeRelayNetwork network{kQueueLimit};
--- a/tests/runtime/log_test.cc
+++ b/tests/runtime/log_test.cc
@@ -1,3 +1,4 @@
+#include <sstream>
 #include <string>
 
 #include <fcntl.h>
