--- a/libraries/runtime/proxy_process.cc
+++ b/libraries/runtime/proxy_process.cc
@@ -8,6 +8,7 @@
 
 #include "observe/observe.h"
 #include "runtime/duty.h"
+#include "runtime/full_ring_event.h"
 #include "runtime/operator_server.h"
 
 namespace jackdawturn {
@@ -260,27 +261,6 @@
 
   // --- Thread of the callers ---
 
-  // A request that never reached the decisions is not on the time line.
-  void LogFullRing(const CallerRequest& refused) {
-    if (!m_log)
-      return;
-    TimelineEvent event;
-    event.stamp.physical = WallClock();
-    event.vm = m_options.proxy.vm;
-    event.kind = EventKind::kAnswer;
-    event.group = refused.group;
-    event.request = refused.request;
-    event.step = "answered";
-    event.peer = refused.caller;
-    event.fields = {{"outcome", "not_run"},
-                    {"reason", "overloaded"},
-                    {"class", refused.class_name.value()},
-                    {"ring", "decisions"},
-                    {"ring_depth", std::to_string(m_decisions.depth())},
-                    {"ring_limit", std::to_string(m_new_work_limit)}};
-    m_log->Write(std::move(event));
-  }
-
   void OnCaller(const HttpRequest& http, HttpServer::Respond respond) {
     if (http.method != "POST")
       return respond(EncodeError(
@@ -302,7 +282,10 @@
     if (m_decisions.TryPush(arrived, m_new_work_limit))
       return;
     const CallerRequest& refused = std::get<CallerArrived>(arrived).request;
-    LogFullRing(refused);
+    if (m_log)
+      m_log->Write(FullRingEvent(m_options.proxy.vm, refused,
+                                 m_decisions.depth(), m_new_work_limit,
+                                 WallClock()));
     OnAnswer(
         {call, RefusalOf(refused, "overloaded"), refused.class_name, {}, {}});
   }
--- a/tests/runtime/full_rings_test.cc
+++ b/tests/runtime/full_rings_test.cc
@@ -38,14 +38,6 @@
   }
 };
 
-CallerRequest Write(uint64_t number) {
-  CallerRequest write = RelayWorld::Request(CallerOperation::kWrite);
-  write.request = MakeRequestId(WallTime(std::chrono::hours(490'000)),
-                                Hash64("write", number));
-  write.statement = "add k 1";
-  return write;
-}
-
 void Submit(const ProxyProcess& proxy,
             const CallerRequest& write,
             std::mutex& mutex,
@@ -83,7 +75,8 @@
         caller % 2 == 0 ? world.holder() : world.other();
     callers.emplace_back([&, caller] {
       for (uint64_t write = 0; write < kWrites; ++write)
-        Submit(proxy, Write(first + caller * kWrites + write), mutex, answers);
+        Submit(proxy, RelayWorld::Write(first + caller * kWrites + write),
+               mutex, answers);
     });
   }
   for (std::thread& caller : callers)
--- a/tests/runtime/log_test.cc
+++ b/tests/runtime/log_test.cc
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include "runtime/full_ring_event.h"
 #include "support/relay_world.h"
 #include "support/table_test.h"
 
@@ -11,14 +12,6 @@
 
 namespace {
 
-CallerRequest NumberedWrite(uint64_t number) {
-  CallerRequest write = RelayWorld::Request(CallerOperation::kWrite);
-  write.request = MakeRequestId(WallTime(std::chrono::hours(490'000)),
-                                Hash64("log", number));
-  write.statement = "add k 1";
-  return write;
-}
-
 // Returns the line that names the request and holds `text`, or nothing.
 std::string LineOf(const std::string& log,
                    const RequestId& request,
@@ -46,7 +39,7 @@
     RelayWorld world(rings, ends[1]);
     for (uint64_t number = 0; number < 300; ++number) {
       const auto answer =
-          RelayWorld::Ask(world.holder(), NumberedWrite(number));
+          RelayWorld::Ask(world.holder(), RelayWorld::Write(number));
       cr_assert(answer.has_value());
       cr_assert_eq(answer.value().outcome, CallerOutcome::kDone);
     }
@@ -82,7 +75,7 @@
   const FailureCase& row = kFailureCases[*row_index];
   int ends[2];
   cr_assert_eq(pipe(ends), 0);
-  CallerRequest write = NumberedWrite(1);
+  CallerRequest write = RelayWorld::Write(1);
   write.request =
       MakeRequestId(WallTime(std::chrono::hours(9'000'000)), Hash64("log", 1));
   write.class_name = ClassName(row.class_name);
@@ -101,4 +94,15 @@
                 log.c_str());
 }
 
+// Guards against a request that a full ring refused and whose line is dropped
+// first.
+Test(process_log, explains_a_full_ring) {
+  const TimelineEvent event =
+      FullRingEvent(VmName("entry-1"), RelayWorld::Write(1), 5, 4, ClockTime());
+  cr_assert_eq(ImportanceOf(event), LogImportance::kFailure);
+  cr_assert(event.request == RelayWorld::Write(1).request);
+  cr_assert(event.field("ring_depth") == "5");
+  cr_assert(event.field("ring_limit") == "4");
+}
+
 }  // namespace jackdawturn
--- a/tests/runtime/relay_process_test.cc
+++ b/tests/runtime/relay_process_test.cc
@@ -14,10 +14,7 @@
 }
 
 static CallerRequest Write(uint64_t number) {
-  CallerRequest write = RelayWorld::Request(CallerOperation::kWrite);
-  write.request = MakeRequestId(WallTime(std::chrono::hours(490'000)), number);
-  write.statement = "add k 5";
-  return write;
+  return RelayWorld::Write(number, "add k 5");
 }
 
 static CallerRequest Read(const std::string& token) {
--- a/tests/support/relay_world.h
+++ b/tests/support/relay_world.h
@@ -57,6 +57,16 @@
     return request;
   }
 
+  // Returns a write with an id of its own for each number.
+  static CallerRequest Write(uint64_t number,
+                             const std::string& statement = "add k 1") {
+    CallerRequest write = Request(CallerOperation::kWrite);
+    write.request = MakeRequestId(WallTime(std::chrono::hours(490'000)),
+                                  Hash64("write", number));
+    write.statement = statement;
+    return write;
+  }
+
   static Result<CallerAnswer> Ask(const ProxyProcess& proxy,
                                   const CallerRequest& request) {
     TRY(const auto response,
