--- a/libraries/observe/event_log.cc
+++ b/libraries/observe/event_log.cc
@@ -1,8 +1,8 @@
 #include "observe/event_log.h"
 
-#include <algorithm>
 #include <cerrno>
 #include <csignal>
+#include <string_view>
 #include <utility>
 
 #include <poll.h>
--- a/programs/jackdawturn/demo_world.cc
+++ b/programs/jackdawturn/demo_world.cc
@@ -1,5 +1,7 @@
 #include "demo_world.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <future>
 #include <random>
@@ -7,7 +9,6 @@
 #include <thread>
 #include <utility>
 
-#include <unistd.h>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
--- a/programs/jackdawturn/serve_commands.cc
+++ b/programs/jackdawturn/serve_commands.cc
@@ -1,3 +1,5 @@
+#include <unistd.h>
+
 #include <csignal>
 
 #include <iostream>
@@ -5,7 +7,6 @@
 #include <random>
 #include <string>
 
-#include <unistd.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
