--- a/cmake/jackdawturn.cmake
+++ b/cmake/jackdawturn.cmake
@@ -1,6 +1,7 @@
 # jackdawturn_library(NAME [SEPARATE] DEPENDS ...): a static library of every
-# source file in the folder of that name. SEPARATE is for folders whose sources
-# use the same names in their unnamed namespaces and cannot be compiled as one.
+# source file in the folder of that name. SEPARATE is for folders that cannot be
+# compiled as one: their sources use the same names in unnamed namespaces, or
+# GCC 12 reports false positives of maybe-uninitialized for std::variant.
 function(jackdawturn_library name)
   cmake_parse_arguments(ARG "SEPARATE" "" "DEPENDS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cc)
@@ -28,7 +29,7 @@
   set(all_libraries "")
   foreach(name core http charts sessions routing requests failover fleet targets
           settings observe standins ports port_fakes standin_servers proxy
-        runtime)
+        runtime gateway platform)
     if(TARGET ${name})
       list(APPEND all_libraries ${name})
     endif()
--- /dev/null
+++ b/libraries/gateway/backend_pool.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "gateway/backend_session.h"
+#include "gateway/session_state.h"
+#include "gateway/timers.h"
+
+namespace jackdawturn::gateway {
+
+// A connection to an instance while one request or transaction has it.
+struct PooledConnection {
+  BackendServer server;
+  std::unique_ptr<BackendSession> session;
+  ConnectionState state;
+  TimePoint idle_since;
+};
+
+// The connections of this proxy to all instances, and the requests that wait
+// for one. Thread safety: not thread-safe.
+class BackendPool {
+ public:
+  using ConnectionPtr = std::unique_ptr<PooledConnection>;
+  using OnAcquired = std::function<void(Result<ConnectionPtr>)>;
+
+  struct Options {
+    Duration open_timeout = std::chrono::milliseconds(400);
+    // An instance that refused or was silent is not tried again for this time.
+    Duration unreachable_time = std::chrono::milliseconds(150);
+    // An instance without a free connection is asked again after this time.
+    Duration full_time = std::chrono::milliseconds(40);
+    Duration idle_time = std::chrono::seconds(5);
+    // An opening connection takes one of the instance's slots.
+    size_t concurrent_opens = 2;
+  };
+
+  BackendPool(Timers& timers, OpenBackendSession open, Options options);
+  ~BackendPool();
+  BackendPool(const BackendPool&) = delete;
+  BackendPool& operator=(const BackendPool&) = delete;
+
+  // Gives a connection to the instance, waiting up to `wait` for one; more
+  // important requests (lower `priority`) come first. Errors: kExhausted (none
+  // in time), kUnavailable and kTimeout (the instance cannot be reached),
+  // kNotFound (another instance is at its address).
+  void Acquire(const BackendServer& server,
+               uint64_t priority,
+               Duration wait,
+               OnAcquired on_acquired);
+
+  // Takes the connection back. Precondition: it has no transaction and no batch
+  // in progress.
+  void Release(ConnectionPtr connection);
+  // Closes a connection whose state is not known.
+  void Discard(ConnectionPtr connection);
+
+  // Closes the connections of an instance that has left and fails its waiters.
+  void Forget(const InstanceName& id);
+  // Closes what was idle for too long, keeping one connection an instance.
+  void CloseIdle();
+
+  size_t Outstanding(const InstanceName& id) const;
+  // The instance failed to open a connection or fell silent lately.
+  bool Unreachable(const InstanceName& id) const;
+  void MarkSilent(const InstanceName& id);
+  size_t connections() const;
+  uint64_t opened() const { return m_opened; }
+  uint64_t refused() const { return m_refused; }
+
+ private:
+  struct Waiter {
+    uint64_t number = 0;
+    uint64_t priority = 0;
+    OnAcquired on_acquired;
+    Timers::TimerId timer = 0;
+  };
+
+  struct Target {
+    BackendServer server;
+    // The most recently used last.
+    std::vector<ConnectionPtr> idle;
+    std::list<Waiter> waiters;
+    size_t in_use = 0;
+    size_t opening = 0;
+    std::optional<TimePoint> full_until;
+    std::optional<TimePoint> unreachable_until;
+    bool retry_planned = false;
+  };
+
+  Target& FindTarget(const BackendServer& server);
+  void Enqueue(Target& target,
+               uint64_t priority,
+               Duration wait,
+               OnAcquired on_acquired);
+  void EndWait(const InstanceName& id, uint64_t number);
+  void OpenMore(Target& target);
+  void Opened(const InstanceName& id,
+              Result<std::unique_ptr<BackendSession>> session);
+  void RetryWhenNotFull(Target& target);
+  void Offer(Target& target, ConnectionPtr connection);
+  void FailWaiters(Target& target, const Error& error);
+  // Returns an open idle connection, or nothing.
+  ConnectionPtr TakeIdle(Target& target);
+
+  Timers& m_timers;
+  const OpenBackendSession m_open;
+  const Options m_options;
+  std::map<InstanceName, Target> m_targets;
+  // Hooks that outlive the pool find it gone.
+  std::shared_ptr<BackendPool*> m_self;
+  uint64_t m_next_waiter = 1;
+  uint64_t m_opened = 0;
+  uint64_t m_refused = 0;
+};
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/client_session.cc
@@ -0,0 +1,273 @@
+#include "gateway/client_session.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+using Kind = ClientStatement::Kind;
+
+}  // namespace
+
+std::shared_ptr<ClientSession> ClientSession::Create(GatewayContext& context,
+                                                     std::string database,
+                                                     OnReply on_reply) {
+  return std::shared_ptr<ClientSession>(
+      new ClientSession(context, std::move(database), std::move(on_reply)));
+}
+
+void ClientSession::Handle(ClientStatement statement) {
+  if (m_busy) {
+    m_pending.push_back(std::move(statement));
+    return;
+  }
+  m_busy = true;
+  Start(statement);
+}
+
+bool ClientSession::idle() const {
+  return !m_busy && !m_transaction;
+}
+
+void ClientSession::Start(const ClientStatement& statement) {
+  if (m_transaction)
+    m_context.timers.Cancel(m_transaction->idle_timer);
+  if (m_transaction && m_transaction->failed)
+    return StartInFailedTransaction(statement);
+  switch (statement.kind) {
+    case Kind::kBegin:
+    case Kind::kBeginRead:
+      return Begin(statement);
+    case Kind::kRollback:
+      RollBack();
+      return Answer();
+    case Kind::kSetValue:
+      m_state.values[statement.name] = statement.argument;
+      return Answer();
+    case Kind::kPrepare:
+      m_state.prepared[statement.name] = {statement.writes, statement.argument};
+      return Answer();
+    case Kind::kClosePrepared:
+      m_state.prepared.erase(statement.name);
+      return Answer();
+    case Kind::kCommit:
+    case Kind::kRead:
+    case Kind::kWrite:
+    case Kind::kExecute:
+      return Run(statement);
+    case Kind::kMalformed:
+      return Fail(ReplyCode::kMalformed, "the statement is not understood");
+  }
+}
+
+void ClientSession::StartInFailedTransaction(const ClientStatement& statement) {
+  if (statement.kind == Kind::kRollback) {
+    RollBack();
+    return Answer();
+  }
+  if (statement.kind == Kind::kCommit) {
+    RollBack();
+    return Fail(ReplyCode::kAborted, "the transaction had failed");
+  }
+  if (std::exchange(m_transaction->expired, false))
+    return Fail(ReplyCode::kAborted, "the transaction was idle for too long");
+  Fail(ReplyCode::kMalformed, "the transaction has failed");
+}
+
+void ClientSession::Begin(const ClientStatement& statement) {
+  if (m_transaction)
+    return Fail(ReplyCode::kMalformed, "a transaction is already open");
+  const Route* route = m_context.deployment
+                           ? m_context.deployment->FindRoute(m_database)
+                           : nullptr;
+  if (!route)
+    return Fail(ReplyCode::kNoDatabase, "no such database");
+  m_transaction.emplace();
+  m_transaction->route = *route;
+  m_transaction->read_only = statement.kind == Kind::kBeginRead;
+  Answer();
+}
+
+void ClientSession::RollBack() {
+  if (!m_transaction)
+    return;
+  CloseTransaction();
+  m_transaction.reset();
+}
+
+void ClientSession::CloseTransaction() {
+  m_context.timers.Cancel(m_transaction->idle_timer);
+  if (!m_transaction->connection)
+    return;
+  auto& pool = m_context.pool;
+  auto connection = std::make_shared<BackendPool::ConnectionPtr>(
+      std::move(m_transaction->connection));
+  if (!(*connection)->session->is_open())
+    return pool.Discard(std::move(*connection));
+  (*connection)
+      ->session->Send({{.kind = BackendCommand::Kind::kRollback}},
+                      [&pool, connection](const auto& replies) {
+                        if (replies)
+                          pool.Release(std::move(*connection));
+                        else
+                          pool.Discard(std::move(*connection));
+                      });
+}
+
+void ClientSession::Run(const ClientStatement& statement) {
+  StatementRun::Input input;
+  input.statement = statement;
+  if (m_transaction) {
+    input.route = m_transaction->route;
+    input.transaction = m_transaction->read_only
+                            ? StatementRun::Transaction::kReadOnly
+                            : StatementRun::Transaction::kReadWrite;
+    input.connection = std::move(m_transaction->connection);
+    input.transaction_wrote = m_transaction->wrote;
+  } else {
+    if (statement.kind == Kind::kCommit)
+      return Fail(ReplyCode::kMalformed, "no transaction is open");
+    const Route* route = m_context.deployment
+                             ? m_context.deployment->FindRoute(m_database)
+                             : nullptr;
+    if (!route)
+      return Fail(ReplyCode::kNoDatabase, "no such database");
+    input.route = *route;
+  }
+  if (statement.kind == Kind::kExecute) {
+    const auto prepared = m_state.prepared.find(statement.name);
+    if (prepared == m_state.prepared.end()) {
+      if (m_transaction)
+        m_transaction->connection = std::move(input.connection);
+      return Fail(ReplyCode::kNoStatement, statement.name);
+    }
+    input.prepared = prepared->second;
+  }
+  input.session = m_state;
+  input.own_commit = m_own_commit;
+  const bool wrote = statement.kind == Kind::kWrite ||
+                     (input.prepared && input.prepared->writes);
+  m_run =
+      StatementRun::Create(m_context, std::move(input),
+                           [weak = weak_from_this(), statement,
+                            wrote](StatementRun::Outcome outcome) {
+                             if (const auto self = weak.lock())
+                               self->Ran(statement, wrote, std::move(outcome));
+                           });
+  const auto run = m_run;
+  run->Start();
+}
+
+void ClientSession::Ran(const ClientStatement& statement,
+                        bool wrote,
+                        StatementRun::Outcome outcome) {
+  m_run.reset();
+  const bool done = outcome.reply.code == ReplyCode::kDone;
+  if (m_transaction) {
+    SettleTransaction(statement, wrote, outcome);
+  } else if (done && wrote && outcome.reply.position) {
+    m_own_commit = std::max(m_own_commit.value_or(CommitPosition{}),
+                            *outcome.reply.position);
+  }
+  if (!done) {
+    m_context.log.Request(statement.id, GroupName(), "failed", "",
+                          {{"code", std::string(ToString(outcome.reply.code))},
+                           {"message", outcome.reply.message},
+                           {"database", m_database}});
+  }
+  Reply(std::move(outcome.reply));
+}
+
+void ClientSession::SettleTransaction(const ClientStatement& statement,
+                                      bool wrote,
+                                      StatementRun::Outcome& outcome) {
+  Transaction& transaction = *m_transaction;
+  transaction.wrote = transaction.wrote || wrote;
+  transaction.connection = std::move(outcome.connection);
+  if (statement.kind == Kind::kCommit) {
+    if (outcome.reply.code == ReplyCode::kDone && transaction.wrote &&
+        outcome.reply.position)
+      m_own_commit = std::max(m_own_commit.value_or(CommitPosition{}),
+                              *outcome.reply.position);
+    RollBack();
+    return;
+  }
+  if (outcome.reply.code != ReplyCode::kDone) {
+    CloseTransaction();
+    transaction.failed = true;
+    return;
+  }
+  WatchIdleTransaction();
+}
+
+void ClientSession::WatchIdleTransaction() {
+  if (!m_context.deployment ||
+      m_context.deployment->transaction_idle == Duration(0))
+    return;
+  m_transaction->idle_timer = m_context.timers.After(
+      m_context.deployment->transaction_idle, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+          self->ExpireTransaction();
+      });
+}
+
+void ClientSession::ExpireTransaction() {
+  if (!m_transaction || m_busy || m_transaction->failed)
+    return;
+  CloseTransaction();
+  m_transaction->failed = true;
+  m_transaction->expired = true;
+  m_context.log.Request(RequestId(), m_transaction->route.group,
+                        "transaction_idle", "", {{"database", m_database}});
+}
+
+void ClientSession::Disconnect() {
+  m_on_reply = nullptr;
+  m_pending.clear();
+  if (m_run)
+    m_run->Abandon();
+  m_run.reset();
+  if (m_transaction)
+    CloseTransaction();
+  m_transaction.reset();
+}
+
+TransactionState ClientSession::state() const {
+  if (!m_transaction)
+    return TransactionState::kNone;
+  return m_transaction->failed ? TransactionState::kFailed
+                               : TransactionState::kOpen;
+}
+
+void ClientSession::Answer() {
+  Reply(ClientReply{});
+}
+
+void ClientSession::Fail(ReplyCode code, std::string message) {
+  // An error fails the transaction, as it does at an instance.
+  if (m_transaction && !m_transaction->failed) {
+    CloseTransaction();
+    m_transaction->failed = true;
+  }
+  ClientReply reply;
+  reply.code = code;
+  reply.message = std::move(message);
+  Reply(std::move(reply));
+}
+
+void ClientSession::Reply(ClientReply reply) {
+  reply.state = state();
+  m_busy = false;
+  const auto self = shared_from_this();
+  if (m_on_reply)
+    m_on_reply(reply);
+  if (m_busy || m_pending.empty())
+    return;
+  ClientStatement next = std::move(m_pending.front());
+  m_pending.pop_front();
+  Handle(std::move(next));
+}
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/gateway_context.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "gateway/backend_pool.h"
+#include "gateway/gateway_log.h"
+#include "gateway/position_history.h"
+#include "gateway/primary_watch.h"
+#include "gateway/server_directory.h"
+#include "gateway/timers.h"
+
+namespace jackdawturn::gateway {
+
+// What replicas have shown of their progress.
+struct ReplicaProgress {
+  std::optional<CommitPosition> applied;
+  // Reads that the replica refused as lagging stay away until then.
+  TimePoint lagging_until;
+};
+
+// A claim to a group's change of primary, as this proxy first saw it.
+struct SeenClaim {
+  uint64_t revision = 0;
+  TimePoint first_seen;
+};
+
+// What all sessions of one proxy share. Thread safety: not thread-safe.
+struct GatewayContext {
+  Timers& timers;
+  BackendPool& pool;
+  ServerDirectory& directory;
+  GatewayLog& log;
+  ZoneName zone;
+  // The configuration in force; null until the first one is known.
+  std::shared_ptr<const Deployment> deployment;
+  std::map<GroupName, PositionHistory> positions;
+  std::map<InstanceName, ReplicaProgress> progress;
+  std::map<GroupName, SeenClaim> claims;
+  PrimaryWatch watch;
+};
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/gateway_host.cc
@@ -0,0 +1,265 @@
+#include "gateway/gateway_host.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+
+constexpr Duration kTickInterval = 100ms;
+constexpr uint64_t kTicksBetweenSweeps = 5;
+// Proxies that see the same reason start one after the other within this time.
+constexpr Duration kStartSpread = 150ms;
+constexpr Duration kRetryAfterOther = 1s;
+constexpr Duration kRetryAfterFailure = 300ms;
+// A promotion that the registry does not show yet looks like a missing primary.
+constexpr Duration kMissingPrimaryTime = 500ms;
+
+}  // namespace
+
+GatewayHost::GatewayHost(Options options, Ports ports, GatewayLog& log)
+    : m_options(std::move(options)),
+      m_ports(std::move(ports)),
+      m_pool(m_ports.timers, m_ports.open, m_options.pool),
+      m_log(log),
+      m_context{.timers = m_ports.timers,
+                .pool = m_pool,
+                .directory = m_directory,
+                .log = m_log,
+                .zone = m_options.zone},
+      m_configuration_sync(
+          m_ports.store,
+          m_ports.timers,
+          RecordCollection::kConfiguration,
+          m_options.seed + 1,
+          {[this](const RecordList& list) { ConfigurationListed(list); },
+           [this](const RecordChange& change) {
+             if (!change.removed)
+               ConfigurationChanged(change.record);
+           },
+           [this](const Error* lost) { StoreContact("configuration", lost); }}),
+      m_servers_sync(
+          m_ports.store,
+          m_ports.timers,
+          RecordCollection::kServers,
+          m_options.seed + 2,
+          {[this](const RecordList& list) { ServersListed(list); },
+           [this](const RecordChange& change) { ServerChanged(change); },
+           [this](const Error* lost) { StoreContact("servers", lost); }}),
+      m_random(m_options.seed) {}
+
+void GatewayHost::Start() {
+  m_configuration_sync.Start();
+  m_servers_sync.Start();
+  Tick();
+}
+
+bool GatewayHost::ready() const {
+  return m_context.deployment && m_servers_known && !m_draining;
+}
+
+void GatewayHost::Drain() {
+  m_draining = true;
+  m_log.Belief(EventKind::kProcess, GroupName(), "drain", "", {});
+}
+
+std::shared_ptr<ClientSession> GatewayHost::OpenSession(
+    const std::string& database,
+    ClientSession::OnReply on_reply) {
+  if (!m_context.deployment || !m_context.deployment->FindRoute(database))
+    return nullptr;
+  return ClientSession::Create(m_context, database, std::move(on_reply));
+}
+
+void GatewayHost::ConfigurationListed(const RecordList& list) {
+  for (const StoredRecord& record : list.records)
+    ConfigurationChanged(record);
+}
+
+void GatewayHost::ConfigurationChanged(const StoredRecord& record) {
+  auto decoded = m_ports.decode_deployment(record);
+  if (!decoded) {
+    m_log.Belief(EventKind::kTargets, GroupName(), "refused", record.name,
+                 {{"error", decoded.error().message}});
+    return;
+  }
+  // A version that was in force never comes back.
+  if (m_context.deployment &&
+      decoded.value().version <= m_context.deployment->version)
+    return;
+  m_context.deployment =
+      std::make_shared<const Deployment>(std::move(decoded.value()));
+  m_log.Belief(
+      EventKind::kTargets, GroupName(), "in_force", record.name,
+      {{"version", std::to_string(m_context.deployment->version)},
+       {"revision", std::to_string(record.revision)},
+       {"routes", std::to_string(m_context.deployment->routes.size())}});
+}
+
+void GatewayHost::ServersListed(const RecordList& list) {
+  std::vector<BackendServer> servers;
+  for (const StoredRecord& record : list.records) {
+    auto server = m_ports.decode_server(record);
+    if (server)
+      servers.push_back(std::move(server.value()));
+    else
+      m_log.Belief(EventKind::kMembership, GroupName(), "bad_entry",
+                   record.name, {{"error", server.error().message}});
+  }
+  m_directory.Replace(servers, m_ports.timers.now());
+  m_servers_known = true;
+  m_log.Belief(EventKind::kMembership, GroupName(), "listed", "",
+               {{"instances", std::to_string(servers.size())},
+                {"revision", std::to_string(list.revision)}});
+}
+
+void GatewayHost::ServerChanged(const RecordChange& change) {
+  const TimePoint now = m_ports.timers.now();
+  if (change.removed) {
+    const InstanceName id(change.record.name);
+    m_log.Belief(EventKind::kMembership, GroupName(), "unlisted", id.value(),
+                 {{"revision", std::to_string(change.record.revision)}});
+    m_directory.Remove(id, now);
+    if (!m_directory.Find(id)) {
+      m_pool.Forget(id);
+      m_context.watch.Forget(id);
+    }
+    return;
+  }
+  const auto server = m_ports.decode_server(change.record);
+  if (!server) {
+    m_log.Belief(EventKind::kMembership, GroupName(), "bad_entry",
+                 change.record.name, {{"error", server.error().message}});
+    return;
+  }
+  UpdateServer(server.value());
+}
+
+void GatewayHost::UpdateServer(const BackendServer& server) {
+  const BackendServer* known = m_directory.Find(server.id);
+  if (!known || known->role != server.role ||
+      known->draining != server.draining || known->born != server.born) {
+    m_log.Belief(
+        EventKind::kMembership, server.group, "instance", server.id.value(),
+        {{"role",
+          server.role == ReplicationRole::kPrimary ? "primary" : "replica"},
+         {"draining", server.draining ? "yes" : "no"},
+         {"revision", std::to_string(server.revision)}});
+  }
+  if (known && known->born != server.born) {
+    // Whatever it had received before is gone.
+    m_context.progress.erase(server.id);
+    m_context.watch.Forget(server.id);
+  }
+  m_directory.Update(server, m_ports.timers.now());
+}
+
+void GatewayHost::StoreContact(const char* collection, const Error* lost) {
+  m_log.Belief(EventKind::kPlatform, GroupName(), lost ? "lost" : "regained",
+               collection,
+               lost ? GatewayLog::Fields{{"error", lost->message}}
+                    : GatewayLog::Fields{});
+}
+
+void GatewayHost::Tick() {
+  m_ports.timers.After(kTickInterval, [this] { Tick(); });
+  if (m_servers_sync.in_contact()) {
+    for (const InstanceName& id : m_directory.Expire(m_ports.timers.now())) {
+      m_log.Belief(EventKind::kMembership, GroupName(), "gone", id.value(), {});
+      m_pool.Forget(id);
+      m_context.watch.Forget(id);
+      m_context.progress.erase(id);
+    }
+  }
+  if (++m_ticks % kTicksBetweenSweeps == 0)
+    m_pool.CloseIdle();
+  if (!m_context.deployment)
+    return;
+  for (const auto& [group, limits] : m_context.deployment->groups)
+    CheckGroup(group);
+}
+
+std::optional<GatewayHost::ChangeReason> GatewayHost::FindReason(
+    const GroupName& group) const {
+  if (m_directory.All(group).empty())
+    return std::nullopt;
+  const BackendServer* primary = m_directory.Primary(group);
+  if (!primary)
+    return ChangeReason{PrimaryChange::Kind::kFailure, "no_primary",
+                        kMissingPrimaryTime};
+  if (primary->draining)
+    return ChangeReason{PrimaryChange::Kind::kPlanned, "draining", {}};
+  if (const auto suspicion =
+          m_context.watch.Check(primary->id, m_ports.timers.now()))
+    return ChangeReason{
+        PrimaryChange::Kind::kFailure, std::string(ToString(*suspicion)), {}};
+  return std::nullopt;
+}
+
+void GatewayHost::CheckGroup(const GroupName& group) {
+  GroupState& state = m_groups[group];
+  const TimePoint now = m_ports.timers.now();
+  const auto reason = FindReason(group);
+  if (!reason) {
+    state.reason_since.reset();
+    return;
+  }
+  if (!state.reason_since) {
+    state.reason_since = now;
+    state.next_change = std::max(state.next_change,
+                                 now + reason->patience + Jitter(kStartSpread));
+  }
+  if (state.change || now < state.next_change)
+    return;
+  StartChange(group, *reason);
+}
+
+void GatewayHost::StartChange(const GroupName& group,
+                              const ChangeReason& reason) {
+  const BackendServer* primary = m_directory.Primary(group);
+  PrimaryChange::Options options;
+  options.group = group;
+  options.kind = reason.kind;
+  options.reason = reason.text;
+  if (primary)
+    options.old_primary = primary->id;
+  options.holder = m_options.name;
+  options.attempt = m_options.name.value() + "-" +
+                    std::to_string(m_options.seed) + "-" +
+                    std::to_string(++m_attempts);
+  GroupState& state = m_groups[group];
+  state.change = PrimaryChange::Create(
+      m_context,
+      {m_ports.store, m_ports.promote, m_ports.open, m_ports.read_status},
+      std::move(options), [this, group](PrimaryChange::Result result) {
+        ChangeEnded(group, result);
+      });
+  state.change->Start();
+}
+
+void GatewayHost::ChangeEnded(const GroupName& group,
+                              PrimaryChange::Result result) {
+  GroupState& state = m_groups[group];
+  const bool other = result == PrimaryChange::Result::kOtherHolder;
+  state.next_change = m_ports.timers.now() +
+                      (other ? kRetryAfterOther : kRetryAfterFailure) +
+                      Jitter(kStartSpread);
+  state.reason_since.reset();
+  if (result == PrimaryChange::Result::kFalseAlarm) {
+    if (const BackendServer* primary = m_directory.Primary(group))
+      m_context.watch.Forget(primary->id);
+  }
+  // The change may still be on the stack.
+  m_ports.timers.After(Duration(0),
+                       [this, group] { m_groups[group].change.reset(); });
+}
+
+Duration GatewayHost::Jitter(Duration longest) {
+  return Duration(
+      std::uniform_int_distribution<int64_t>(0, longest.count())(m_random));
+}
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/gateway_host.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "gateway/client_session.h"
+#include "gateway/gateway_context.h"
+#include "gateway/metadata_store.h"
+#include "gateway/primary_change.h"
+#include "gateway/store_sync.h"
+
+namespace jackdawturn::gateway {
+
+// The decisions of one proxy whose clients and instances speak a statement
+// protocol: keeps up with the store, serves sessions and changes primaries.
+// Thread safety: not thread-safe.
+class GatewayHost {
+ public:
+  struct Options {
+    VmName name;
+    ZoneName zone;
+    uint64_t seed = 0;
+    BackendPool::Options pool;
+  };
+
+  struct Ports {
+    Timers& timers;
+    MetadataStore& store;
+    OpenBackendSession open;
+    PromoteInstance promote;
+    ReadStatusRow read_status;
+    // Errors: kInvalidArgument, with the place of the fault.
+    std::function<Result<Deployment>(const StoredRecord&)> decode_deployment;
+    std::function<Result<BackendServer>(const StoredRecord&)> decode_server;
+  };
+
+  // The ports and `log` outlive this.
+  GatewayHost(Options options, Ports ports, GatewayLog& log);
+
+  void Start();
+
+  // The configuration and the instances are known, and no drain has begun.
+  bool ready() const;
+  // Reports not ready from now on.
+  void Drain();
+
+  // Returns nothing when the database has no route.
+  std::shared_ptr<ClientSession> OpenSession(const std::string& database,
+                                             ClientSession::OnReply on_reply);
+
+  const GatewayContext& context() const { return m_context; }
+
+ private:
+  // The watch over one group's primary.
+  struct GroupState {
+    std::shared_ptr<PrimaryChange> change;
+    TimePoint next_change;
+    // When the present reason for a change was first seen.
+    std::optional<TimePoint> reason_since;
+  };
+
+  struct ChangeReason {
+    PrimaryChange::Kind kind = PrimaryChange::Kind::kFailure;
+    std::string text;
+    // How long the reason must last.
+    Duration patience{0};
+  };
+
+  void ConfigurationListed(const RecordList& list);
+  void ConfigurationChanged(const StoredRecord& record);
+  void ServersListed(const RecordList& list);
+  void ServerChanged(const RecordChange& change);
+  void UpdateServer(const BackendServer& server);
+  void StoreContact(const char* collection, const Error* lost);
+  void Tick();
+  void CheckGroup(const GroupName& group);
+  std::optional<ChangeReason> FindReason(const GroupName& group) const;
+  void StartChange(const GroupName& group, const ChangeReason& reason);
+  void ChangeEnded(const GroupName& group, PrimaryChange::Result result);
+  Duration Jitter(Duration longest);
+
+  const Options m_options;
+  Ports m_ports;
+  BackendPool m_pool;
+  ServerDirectory m_directory;
+  GatewayLog& m_log;
+  GatewayContext m_context;
+  StoreSync m_configuration_sync;
+  StoreSync m_servers_sync;
+  std::map<GroupName, GroupState> m_groups;
+  std::mt19937_64 m_random;
+  uint64_t m_attempts = 0;
+  uint64_t m_ticks = 0;
+  bool m_servers_known = false;
+  bool m_draining = false;
+};
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/gateway_log.cc
@@ -0,0 +1,56 @@
+#include "gateway/gateway_log.h"
+
+#include <utility>
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+// No stamps of other processes are received.
+constexpr std::chrono::microseconds kNoSkew{0};
+
+}  // namespace
+
+GatewayLog::GatewayLog(EventLog* log, MetricRegistry& metrics, VmName vm)
+    : m_log(log), m_metrics(metrics), m_vm(std::move(vm)), m_clock(kNoSkew) {}
+
+void GatewayLog::Request(const RequestId& request,
+                         const GroupName& group,
+                         std::string step,
+                         std::string peer,
+                         Fields fields) {
+  Write({.kind = EventKind::kRequest,
+         .group = group,
+         .request = request,
+         .step = std::move(step),
+         .peer = std::move(peer),
+         .fields = std::move(fields)});
+}
+
+void GatewayLog::Belief(EventKind kind,
+                        const GroupName& group,
+                        std::string step,
+                        std::string peer,
+                        Fields fields) {
+  Write({.kind = kind,
+         .group = group,
+         .step = std::move(step),
+         .peer = std::move(peer),
+         .fields = std::move(fields)});
+}
+
+void GatewayLog::Write(TimelineEvent event) {
+  m_metrics
+      .FindCounter(
+          "jackdawturn_events_total", "Logged decisions.",
+          {{"kind", std::string(ToString(event.kind))}, {"step", event.step}})
+      .Add();
+  if (!m_log)
+    return;
+  event.vm = m_vm;
+  event.stamp = m_clock.Send(std::chrono::time_point_cast<ClockTime::duration>(
+      std::chrono::system_clock::now()));
+  m_log->Write(std::move(event));
+}
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/gateway_log.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <string>
+
+#include "core/core.h"
+#include "observe/observe.h"
+
+namespace jackdawturn::gateway {
+
+// Writes the decisions of a gateway to its log and counts them. Thread safety:
+// as EventLog and MetricRegistry, which outlive this.
+class GatewayLog {
+ public:
+  using Fields = std::map<std::string, std::string>;
+
+  // `log` may be null: events are then only counted.
+  GatewayLog(EventLog* log, MetricRegistry& metrics, VmName vm);
+
+  // A decision about a request that was not simply served.
+  void Request(const RequestId& request,
+               const GroupName& group,
+               std::string step,
+               std::string peer,
+               Fields fields);
+  // A change of what the process believes.
+  void Belief(EventKind kind,
+              const GroupName& group,
+              std::string step,
+              std::string peer,
+              Fields fields);
+
+  MetricRegistry& metrics() { return m_metrics; }
+
+ private:
+  void Write(TimelineEvent event);
+
+  EventLog* const m_log;
+  MetricRegistry& m_metrics;
+  const VmName m_vm;
+  HybridLogicalClock m_clock;
+};
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/gateway_types.cc
@@ -0,0 +1,54 @@
+#include "gateway/gateway_types.h"
+
+namespace jackdawturn::gateway {
+
+std::string_view ToString(ReplyCode code) {
+  switch (code) {
+    case ReplyCode::kDone:
+      return "done";
+    case ReplyCode::kBusy:
+      return "busy";
+    case ReplyCode::kAborted:
+      return "aborted";
+    case ReplyCode::kLagging:
+      return "lagging";
+    case ReplyCode::kReadOnly:
+      return "read_only";
+    case ReplyCode::kMisrouted:
+      return "misrouted";
+    case ReplyCode::kTooManyConnections:
+      return "too_many_connections";
+    case ReplyCode::kNoStatement:
+      return "no_statement";
+    case ReplyCode::kFailed:
+      return "failed";
+    case ReplyCode::kTimeout:
+      return "timeout";
+    case ReplyCode::kUnknown:
+      return "unknown";
+    case ReplyCode::kNoDatabase:
+      return "no_database";
+    case ReplyCode::kMalformed:
+      return "malformed";
+    case ReplyCode::kOther:
+      return "other";
+  }
+  return "other";
+}
+
+bool PromisesNotRun(ReplyCode code) {
+  switch (code) {
+    case ReplyCode::kBusy:
+    case ReplyCode::kAborted:
+    case ReplyCode::kLagging:
+    case ReplyCode::kReadOnly:
+    case ReplyCode::kMisrouted:
+    case ReplyCode::kTooManyConnections:
+    case ReplyCode::kNoStatement:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/placement.cc
@@ -0,0 +1,52 @@
+#include "gateway/placement.h"
+
+#include <tuple>
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+// Writes need the primary, so a read goes there only when replicas have this
+// many more requests outstanding.
+constexpr size_t kPrimaryReserve = 2;
+
+// Lower is better.
+std::tuple<bool, size_t, bool> CostOf(const ReadCandidate& candidate) {
+  const size_t load =
+      candidate.outstanding + (candidate.primary ? kPrimaryReserve : 0);
+  return {candidate.unreachable, load, !candidate.same_zone};
+}
+
+bool MayHave(const ReadCandidate& candidate,
+             CommitPosition required,
+             bool recently_written) {
+  if (candidate.primary)
+    return true;
+  if (candidate.applied && *candidate.applied >= required)
+    return true;
+  return !candidate.lagging && !recently_written;
+}
+
+}  // namespace
+
+std::optional<InstanceName> PlaceRead(
+    const std::vector<ReadCandidate>& candidates,
+    const std::optional<CommitPosition>& required,
+    bool recently_written,
+    const std::set<InstanceName>& avoided) {
+  const ReadCandidate* best = nullptr;
+  for (const ReadCandidate& candidate : candidates) {
+    if (avoided.contains(candidate.id))
+      continue;
+    if (!candidate.primary &&
+        (!required || !MayHave(candidate, *required, recently_written)))
+      continue;
+    if (!best || CostOf(candidate) < CostOf(*best))
+      best = &candidate;
+  }
+  if (!best)
+    return std::nullopt;
+  return best->id;
+}
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/primary_change.cc
@@ -0,0 +1,451 @@
+#include "gateway/primary_change.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include <boost/json.hpp>
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+using CommandKind = BackendCommand::Kind;
+
+constexpr Duration kOpenTimeout = 350ms;
+constexpr Duration kCommandTimeout = 400ms;
+constexpr Duration kStoreTimeout = 800ms;
+constexpr Duration kPromoteTimeout = 1'500ms;
+constexpr unsigned kPromoteCalls = 4;
+// Between two questions whether a replica has caught up or leads.
+constexpr Duration kPollInterval = 30ms;
+constexpr Duration kCatchUpTime = 800ms;
+constexpr Duration kLeadTime = 3s;
+// A claim without an end gives way after this time. Its holder does not resume
+// replicas later than kResumeTime, because another holder may have paused them.
+constexpr Duration kClaimTime = 4s;
+constexpr Duration kResumeTime = 3s;
+
+// The record of a group in RecordCollection::kPrimaryChanges.
+struct Claim {
+  std::string holder;
+  std::string attempt;
+  bool ended = false;
+};
+
+std::string EncodeClaim(const Claim& claim) {
+  return boost::json::serialize(boost::json::object{{"holder", claim.holder},
+                                                    {"attempt", claim.attempt},
+                                                    {"ended", claim.ended}});
+}
+
+Result<Claim> DecodeClaim(const std::string& body) {
+  constexpr const char* kStep = "change.claim";
+  TRY(const boost::json::value value, ParseJson(body, kStep));
+  TRY(const JsonFields fields, JsonFields::Create(value, kStep));
+  Claim claim;
+  TRY(claim.holder, fields.String("holder"));
+  TRY(claim.attempt, fields.String("attempt"));
+  TRY(claim.ended, fields.Boolean("ended"));
+  return claim;
+}
+
+}  // namespace
+
+std::optional<InstanceName> ChooseNewPrimary(
+    const std::vector<MemberStatus>& replicas) {
+  const auto rank = [](const MemberStatus& member) {
+    return std::make_tuple(member.status.received, !member.draining,
+                           member.same_zone);
+  };
+  const auto best = std::max_element(
+      replicas.begin(), replicas.end(),
+      [&](const MemberStatus& left, const MemberStatus& right) {
+        return rank(left) < rank(right);
+      });
+  if (best == replicas.end())
+    return std::nullopt;
+  return best->id;
+}
+
+std::shared_ptr<PrimaryChange> PrimaryChange::Create(GatewayContext& context,
+                                                     Ports ports,
+                                                     Options options,
+                                                     OnEnd on_end) {
+  return std::shared_ptr<PrimaryChange>(new PrimaryChange(
+      context, std::move(ports), std::move(options), std::move(on_end)));
+}
+
+PrimaryChange::PrimaryChange(GatewayContext& context,
+                             Ports ports,
+                             Options options,
+                             OnEnd on_end)
+    : m_context(context),
+      m_ports(std::move(ports)),
+      m_options(std::move(options)),
+      m_on_end(std::move(on_end)),
+      m_kind(m_options.kind) {}
+
+void PrimaryChange::Start() {
+  Log("suspect", {{"reason", m_options.reason}});
+  ProbeMembers();
+}
+
+void PrimaryChange::ProbeMembers() {
+  for (const BackendServer* server : m_context.directory.All(m_options.group)) {
+    m_members[server->id].server = *server;
+  }
+  m_awaited = m_members.size();
+  if (m_awaited == 0)
+    return End(Result::kNotPossible, "no instance is known");
+  for (const auto& [id, member] : m_members) {
+    m_ports.open(member.server, kOpenTimeout,
+                 [self = shared_from_this(), id = id](auto session) mutable {
+                   self->MemberOpened(id, std::move(session));
+                 });
+  }
+}
+
+void PrimaryChange::MemberOpened(
+    const InstanceName& id,
+    jackdawturn::Result<std::unique_ptr<BackendSession>> opened) {
+  Member& member = m_members[id];
+  if (!opened) {
+    Log("unreachable",
+        {{"instance", id.value()}, {"error", opened.error().message}});
+    if (--m_awaited == 0)
+      Probed();
+    return;
+  }
+  member.session = std::move(opened.value());
+  Command(member, CommandKind::kStatus, [this](bool) {
+    if (--m_awaited == 0)
+      Probed();
+  });
+}
+
+void PrimaryChange::Command(Member& member,
+                            BackendCommand::Kind kind,
+                            std::function<void(bool answered)> then) {
+  member.status.reset();
+  if (!member.session || !member.session->is_open())
+    return then(false);
+  auto self = shared_from_this();
+  auto shared_then =
+      std::make_shared<std::function<void(bool)>>(std::move(then));
+  const auto finish = [shared_then](bool answered) {
+    if (const auto run = std::exchange(*shared_then, nullptr))
+      run(answered);
+  };
+  const auto timer =
+      m_context.timers.After(kCommandTimeout, [self, &member, finish] {
+        member.session.reset();
+        finish(false);
+      });
+  BackendCommand command;
+  command.kind = kind;
+  command.term = m_pause_term;
+  member.session->Send(
+      {command}, [self, &member, finish, timer](const auto& replies) {
+        self->m_context.timers.Cancel(timer);
+        if (!replies || replies.value().front().code != ReplyCode::kDone) {
+          self->Log("command_failed",
+                    {{"instance", member.server.id.value()},
+                     {"error", replies ? replies.value().front().message
+                                       : replies.error().message}});
+          return finish(false);
+        }
+        const auto status = self->m_ports.read_status(replies.value().front());
+        if (status)
+          member.status = status.value();
+        else
+          self->Log("command_failed", {{"instance", member.server.id.value()},
+                                       {"error", status.error().message}});
+        finish(status.has_value());
+      });
+}
+
+void PrimaryChange::Probed() {
+  const Member* leader = nullptr;
+  for (const auto& [id, member] : m_members) {
+    if (!member.status || member.status->role != ReplicationRole::kPrimary)
+      continue;
+    if (!leader || member.status->term > leader->status->term)
+      leader = &member;
+  }
+  const bool stalled = m_options.reason == ToString(SuspicionReason::kStalled);
+  if (leader && !is_old_primary(*leader)) {
+    m_context.directory.MarkPromoted(m_options.group, leader->server.id);
+    return End(Result::kFalseAlarm, "another instance leads");
+  }
+  if (leader && m_kind == Kind::kFailure && !stalled)
+    return End(Result::kFalseAlarm, "the primary answers");
+  // A primary that does not answer cannot help its successor to catch up.
+  if (!leader)
+    m_kind = Kind::kFailure;
+  for (const auto& [id, member] : m_members) {
+    if (!is_old_primary(member) && !member.status)
+      return End(Result::kNotPossible, "a replica does not answer");
+  }
+  if (Replicas().empty())
+    return End(Result::kNotPossible, "no replica is known");
+  ReadClaim();
+}
+
+void PrimaryChange::ReadClaim() {
+  m_ports.store.Read(RecordCollection::kPrimaryChanges, m_options.group.value(),
+                     kStoreTimeout, [self = shared_from_this()](auto record) {
+                       self->ClaimRead(std::move(record));
+                     });
+}
+
+void PrimaryChange::ClaimRead(jackdawturn::Result<StoredRecord> record) {
+  if (!record) {
+    if (record.error().code == ErrorCode::kNotFound)
+      return WriteClaim(0);
+    return End(Result::kFailed, record.error().message);
+  }
+  const auto claim = DecodeClaim(record.value().body);
+  if (!claim)
+    Log("bad_claim", {{"error", claim.error().message}});
+  // The age of a claim is taken on this proxy's clock, from when it was first
+  // seen.
+  auto& seen = m_context.claims[m_options.group];
+  if (seen.revision != record.value().revision)
+    seen = {record.value().revision, m_context.timers.now()};
+  const bool active = claim && !claim.value().ended;
+  if (active && m_context.timers.now() < seen.first_seen + kClaimTime)
+    return End(Result::kOtherHolder, claim.value().holder);
+  WriteClaim(record.value().revision);
+}
+
+void PrimaryChange::WriteClaim(uint64_t expected) {
+  m_ports.store.Update(
+      RecordCollection::kPrimaryChanges, m_options.group.value(), expected,
+      EncodeClaim({m_options.holder.value(), m_options.attempt, false}),
+      kStoreTimeout, [self = shared_from_this()](auto record) {
+        self->ClaimWritten(std::move(record));
+      });
+}
+
+void PrimaryChange::ClaimWritten(jackdawturn::Result<StoredRecord> record) {
+  if (record)
+    return Claimed(record.value().revision);
+  if (record.error().code == ErrorCode::kTimeout)
+    return ReadBackClaim();
+  if (record.error().code == ErrorCode::kConflict)
+    return End(Result::kOtherHolder, "the claim was lost");
+  End(Result::kFailed, record.error().message);
+}
+
+void PrimaryChange::ReadBackClaim() {
+  m_ports.store.Read(
+      RecordCollection::kPrimaryChanges, m_options.group.value(), kStoreTimeout,
+      [self = shared_from_this()](auto record) {
+        if (!record)
+          return self->End(Result::kFailed, record.error().message);
+        const auto claim = DecodeClaim(record.value().body);
+        if (!claim || claim.value().attempt != self->m_options.attempt)
+          return self->End(Result::kOtherHolder, "the claim was lost");
+        self->Claimed(record.value().revision);
+      });
+}
+
+void PrimaryChange::Claimed(uint64_t revision) {
+  m_claimed = true;
+  m_token = revision;
+  m_claimed_at = m_context.timers.now();
+  Log("claim",
+      {{"token", std::to_string(revision)}, {"reason", m_options.reason}});
+  PauseReplicas();
+}
+
+void PrimaryChange::PauseReplicas() {
+  if (!MembersUnchanged())
+    return End(Result::kFailed, "the group's instances have changed");
+  for (const auto& [id, member] : m_members) {
+    if (member.status)
+      m_pause_term = std::max(
+          {m_pause_term, member.status->term, member.status->paused_term});
+  }
+  ++m_pause_term;
+  if (m_kind == Kind::kPlanned) {
+    std::vector<MemberStatus> lasting = Replicas();
+    std::erase_if(lasting, [](const auto& member) { return member.draining; });
+    const auto chosen = ChooseNewPrimary(lasting);
+    if (!chosen)
+      return End(Result::kNotPossible, "every replica is leaving");
+    m_candidate = *chosen;
+  }
+  std::vector<Member*> paused;
+  for (auto& [id, member] : m_members) {
+    if (!is_old_primary(member) && id != m_candidate)
+      paused.push_back(&member);
+  }
+  m_awaited = paused.size();
+  if (m_awaited == 0)
+    return Paused();
+  for (Member* member : paused) {
+    member->paused = true;
+    Command(*member, CommandKind::kPause, [this](bool) {
+      if (--m_awaited == 0)
+        Paused();
+    });
+  }
+}
+
+void PrimaryChange::Paused() {
+  for (const auto& [id, member] : m_members) {
+    if (member.paused && !member.status) {
+      Resume();
+      return End(Result::kFailed, "a replica could not be paused");
+    }
+  }
+  if (!MembersUnchanged()) {
+    Resume();
+    return End(Result::kFailed, "the group's instances have changed");
+  }
+  if (m_kind == Kind::kPlanned) {
+    m_wait_until = m_context.timers.now() + kCatchUpTime;
+    return AwaitCandidate();
+  }
+  m_candidate = *ChooseNewPrimary(Replicas());
+  Promote();
+}
+
+void PrimaryChange::AwaitCandidate() {
+  Member& candidate = *Find(m_candidate);
+  Command(candidate, CommandKind::kStatus, [this](bool answered) {
+    if (answered && Find(m_candidate)->status->received >= NewestReceived())
+      return Promote();
+    if (!answered || m_context.timers.now() >= m_wait_until) {
+      Resume();
+      return End(Result::kFailed, "the new primary has not caught up");
+    }
+    m_context.timers.After(
+        kPollInterval, [self = shared_from_this()] { self->AwaitCandidate(); });
+  });
+}
+
+CommitPosition PrimaryChange::NewestReceived() const {
+  CommitPosition newest;
+  for (const auto& [id, member] : m_members) {
+    if (member.paused && member.status)
+      newest = std::max(newest, member.status->received);
+  }
+  return newest;
+}
+
+bool PrimaryChange::MembersUnchanged() const {
+  const auto present = m_context.directory.All(m_options.group);
+  for (const BackendServer* server : present) {
+    const auto known = m_members.find(server->id);
+    if (known == m_members.end() || known->second.server.born != server->born)
+      return false;
+  }
+  return true;
+}
+
+void PrimaryChange::Promote() {
+  ++m_promote_calls;
+  Log("promote",
+      {{"instance", m_candidate.value()},
+       {"token", std::to_string(m_token)},
+       {"received",
+        std::to_string(Find(m_candidate)->status->received.number)}});
+  m_ports.promote(m_options.group, m_candidate, m_token, kPromoteTimeout,
+                  [self = shared_from_this()](auto result) {
+                    self->PromoteAnswered(std::move(result));
+                  });
+}
+
+void PrimaryChange::PromoteAnswered(jackdawturn::Result<void> result) {
+  if (result) {
+    m_wait_until = m_context.timers.now() + kLeadTime;
+    return AwaitLead();
+  }
+  Log("promote_failed", {{"error", result.error().message}});
+  if (result.error().code == ErrorCode::kConflict) {
+    // A newer holder is at work or the instance has stopped. An earlier call
+    // that was not answered may still take effect, so nothing is resumed then.
+    if (m_promote_calls == 1)
+      Resume();
+    return End(Result::kFailed, result.error().message);
+  }
+  if (m_promote_calls < kPromoteCalls &&
+      m_context.timers.now() < m_claimed_at + kClaimTime)
+    return Promote();
+  End(Result::kFailed, "the promotion was not answered");
+}
+
+void PrimaryChange::AwaitLead() {
+  Member& candidate = *Find(m_candidate);
+  Command(candidate, CommandKind::kStatus, [this](bool answered) {
+    const auto& status = Find(m_candidate)->status;
+    if (answered && status->role == ReplicationRole::kPrimary) {
+      m_context.directory.MarkPromoted(m_options.group, m_candidate);
+      m_context.watch.Forget(m_candidate);
+      Release();
+      return End(Result::kPromoted, "");
+    }
+    if (m_context.timers.now() >= m_wait_until) {
+      Release();
+      return End(Result::kFailed, "the promoted instance does not lead yet");
+    }
+    m_context.timers.After(kPollInterval,
+                           [self = shared_from_this()] { self->AwaitLead(); });
+  });
+}
+
+void PrimaryChange::Release() {
+  m_ports.store.Update(
+      RecordCollection::kPrimaryChanges, m_options.group.value(), m_token,
+      EncodeClaim({m_options.holder.value(), m_options.attempt, true}),
+      kStoreTimeout, [self = shared_from_this()](auto record) {
+        if (!record)
+          self->Log("release_failed", {{"error", record.error().message}});
+      });
+}
+
+void PrimaryChange::Resume() {
+  if (m_context.timers.now() >= m_claimed_at + kResumeTime)
+    return Log("not_resumed", {});
+  for (auto& [id, member] : m_members) {
+    if (member.paused)
+      Command(member, CommandKind::kResume, [](bool) {});
+  }
+  Release();
+}
+
+void PrimaryChange::End(Result result, const std::string& why) {
+  Log(result == Result::kPromoted ? "promoted" : "ended", {{"why", why}});
+  if (const OnEnd on_end = std::exchange(m_on_end, nullptr))
+    on_end(result);
+}
+
+std::vector<MemberStatus> PrimaryChange::Replicas() const {
+  std::vector<MemberStatus> replicas;
+  for (const auto& [id, member] : m_members) {
+    if (is_old_primary(member) || !member.status)
+      continue;
+    replicas.push_back({id, member.server.draining,
+                        member.server.zone == m_context.zone, *member.status});
+  }
+  return replicas;
+}
+
+PrimaryChange::Member* PrimaryChange::Find(const InstanceName& id) {
+  const auto found = m_members.find(id);
+  VERIFY(found != m_members.end());
+  return &found->second;
+}
+
+void PrimaryChange::Log(const std::string& step,
+                        GatewayLog::Fields fields) const {
+  fields["attempt"] = m_options.attempt;
+  m_context.log.Belief(EventKind::kFailover, m_options.group, step,
+                       m_options.old_primary.value(), std::move(fields));
+}
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/primary_change.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/gateway_context.h"
+#include "gateway/metadata_store.h"
+
+namespace jackdawturn::gateway {
+
+// An instance's answer during a change of primary.
+struct MemberStatus {
+  InstanceName id;
+  bool draining = false;
+  bool same_zone = false;
+  ReplicationStatus status;
+};
+
+// Chooses the replica that has received most; its log has every acknowledged
+// commit if all replicas have stopped receiving. An instance that leaves is
+// only chosen when no other has as much. Returns nothing for an empty list.
+// Thread-safe.
+std::optional<InstanceName> ChooseNewPrimary(
+    const std::vector<MemberStatus>& replicas);
+
+// Changes the primary of one group once. Before an instance is promoted, the
+// replicas stop receiving, so that the old primary can have no commit
+// acknowledged that the new one lacks. In a planned change the new primary goes
+// on receiving, so that the old one serves until it is replaced.
+// Thread safety: not thread-safe.
+class PrimaryChange : public std::enable_shared_from_this<PrimaryChange> {
+ public:
+  enum class Kind { kPlanned, kFailure };
+
+  struct Ports {
+    MetadataStore& store;
+    PromoteInstance promote;
+    OpenBackendSession open;
+    ReadStatusRow read_status;
+  };
+
+  struct Options {
+    GroupName group;
+    Kind kind = Kind::kFailure;
+    std::string reason;
+    // The instance to replace; empty when none is known.
+    InstanceName old_primary;
+    VmName holder;
+    // Names this attempt in the store.
+    std::string attempt;
+  };
+
+  // How a change ended.
+  enum class Result {
+    kPromoted,
+    kFalseAlarm,   // The old primary leads and answers.
+    kOtherHolder,  // Another proxy is at work.
+    kNotPossible,  // A replica that may have acknowledged commits is missing.
+    kFailed,
+  };
+  using OnEnd = std::function<void(Result result)>;
+
+  static std::shared_ptr<PrimaryChange> Create(GatewayContext& context,
+                                               Ports ports,
+                                               Options options,
+                                               OnEnd on_end);
+  void Start();
+
+ private:
+  struct Member {
+    BackendServer server;
+    std::unique_ptr<BackendSession> session;
+    std::optional<ReplicationStatus> status;
+    bool paused = false;
+  };
+
+  PrimaryChange(GatewayContext& context,
+                Ports ports,
+                Options options,
+                OnEnd on_end);
+
+  void ProbeMembers();
+  void MemberOpened(
+      const InstanceName& id,
+      jackdawturn::Result<std::unique_ptr<BackendSession>> opened);
+  // Sends a command to a member and stores the status that it answers with.
+  void Command(Member& member,
+               BackendCommand::Kind kind,
+               std::function<void(bool answered)> then);
+  void Probed();
+  void ReadClaim();
+  void ClaimRead(jackdawturn::Result<StoredRecord> record);
+  void WriteClaim(uint64_t expected);
+  void ClaimWritten(jackdawturn::Result<StoredRecord> record);
+  void ReadBackClaim();
+  void Claimed(uint64_t revision);
+  void PauseReplicas();
+  void Paused();
+  void AwaitCandidate();
+  bool MembersUnchanged() const;
+  void Promote();
+  void PromoteAnswered(jackdawturn::Result<void> result);
+  void AwaitLead();
+  void Release();
+  void Resume();
+  void End(Result result, const std::string& why);
+  void Log(const std::string& step, GatewayLog::Fields fields) const;
+  std::vector<MemberStatus> Replicas() const;
+  Member* Find(const InstanceName& id);
+  bool is_old_primary(const Member& member) const {
+    return member.server.id == m_options.old_primary;
+  }
+  CommitPosition NewestReceived() const;
+
+  GatewayContext& m_context;
+  Ports m_ports;
+  const Options m_options;
+  OnEnd m_on_end;
+  Kind m_kind;
+  std::map<InstanceName, Member> m_members;
+  size_t m_awaited = 0;
+  bool m_claimed = false;
+  uint64_t m_token = 0;
+  uint64_t m_pause_term = 0;
+  InstanceName m_candidate;
+  unsigned m_promote_calls = 0;
+  TimePoint m_claimed_at;
+  TimePoint m_wait_until;
+};
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/primary_watch.cc
@@ -0,0 +1,92 @@
+#include "gateway/primary_watch.h"
+
+namespace jackdawturn::gateway {
+
+std::string_view ToString(SuspicionReason reason) {
+  switch (reason) {
+    case SuspicionReason::kRefused:
+      return "refused";
+    case SuspicionReason::kSilent:
+      return "silent";
+    case SuspicionReason::kStalled:
+      return "stalled";
+  }
+  return "silent";
+}
+
+void PrimaryWatch::Sent(const InstanceName& id, bool write, TimePoint now) {
+  Evidence& evidence = m_evidence[id];
+  for (Unanswered* kind : {&evidence.all, &evidence.writes}) {
+    if (kind == &evidence.writes && !write)
+      continue;
+    ++kind->count;
+    if (!kind->since)
+      kind->since = now;
+  }
+}
+
+void PrimaryWatch::Answered(const InstanceName& id, bool write, TimePoint now) {
+  Evidence& evidence = m_evidence[id];
+  evidence.refused_since.reset();
+  for (Unanswered* kind : {&evidence.all, &evidence.writes}) {
+    if (kind == &evidence.writes && !write)
+      continue;
+    kind->since.reset();
+    // Forget may have come in between.
+    if (kind->count > 0 && --kind->count > 0)
+      kind->since = now;
+  }
+}
+
+void PrimaryWatch::Lost(const InstanceName& id, bool write, TimePoint) {
+  Evidence& evidence = m_evidence[id];
+  // The time since the last answer goes on until there is one.
+  if (evidence.all.count > 0)
+    --evidence.all.count;
+  if (write && evidence.writes.count > 0)
+    --evidence.writes.count;
+}
+
+void PrimaryWatch::Refused(const InstanceName& id, TimePoint now) {
+  auto& since = m_evidence[id].refused_since;
+  if (!since)
+    since = now;
+}
+
+void PrimaryWatch::OpenTimedOut(const InstanceName& id, TimePoint now) {
+  auto& since = m_evidence[id].all.since;
+  if (!since)
+    since = now;
+}
+
+void PrimaryWatch::Opened(const InstanceName& id) {
+  Evidence& evidence = m_evidence[id];
+  evidence.refused_since.reset();
+  if (evidence.all.count == 0)
+    evidence.all.since.reset();
+}
+
+void PrimaryWatch::Forget(const InstanceName& id) {
+  m_evidence.erase(id);
+}
+
+std::optional<SuspicionReason> PrimaryWatch::Check(const InstanceName& id,
+                                                   TimePoint now) const {
+  const auto found = m_evidence.find(id);
+  if (found == m_evidence.end())
+    return std::nullopt;
+  const Evidence& evidence = found->second;
+  const auto longer = [now](const std::optional<TimePoint>& since,
+                            Duration limit) {
+    return since && *since + limit <= now;
+  };
+  if (longer(evidence.refused_since, kRefusedTime))
+    return SuspicionReason::kRefused;
+  if (longer(evidence.all.since, kSilentTime))
+    return SuspicionReason::kSilent;
+  if (longer(evidence.writes.since, kStalledTime))
+    return SuspicionReason::kStalled;
+  return std::nullopt;
+}
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/server_directory.cc
@@ -0,0 +1,135 @@
+#include "gateway/server_directory.h"
+
+#include <algorithm>
+
+namespace jackdawturn::gateway {
+
+void ServerDirectory::Update(const BackendServer& server, TimePoint) {
+  auto [found, added] = m_entries.try_emplace(server.id);
+  Entry& entry = found->second;
+  if (!added && server.revision < entry.server.revision)
+    return;
+  const bool restarted = !added && entry.server.born != server.born;
+  if (added || restarted || entry.server.role != server.role) {
+    entry.role_since = server.revision;
+    entry.deposed = false;
+    const auto promoted = m_promoted.find(server.group);
+    // The registry has caught up with the promotion, or has moved past it.
+    if (promoted != m_promoted.end() &&
+        (server.role == ReplicationRole::kPrimary ||
+         promoted->second == server.id))
+      m_promoted.erase(promoted);
+  }
+  entry.server = server;
+  entry.lapsed_at.reset();
+}
+
+void ServerDirectory::Remove(const InstanceName& id, TimePoint now) {
+  const auto found = m_entries.find(id);
+  if (found == m_entries.end())
+    return;
+  if (found->second.server.draining) {
+    m_entries.erase(found);
+    return;
+  }
+  if (!found->second.lapsed_at)
+    found->second.lapsed_at = now;
+}
+
+void ServerDirectory::Replace(const std::vector<BackendServer>& servers,
+                              TimePoint now) {
+  std::set<InstanceName> listed;
+  for (const BackendServer& server : servers) {
+    listed.insert(server.id);
+    Update(server, now);
+  }
+  std::vector<InstanceName> missing;
+  for (const auto& [id, entry] : m_entries) {
+    if (!listed.contains(id))
+      missing.push_back(id);
+  }
+  for (const InstanceName& id : missing)
+    Remove(id, now);
+}
+
+std::vector<InstanceName> ServerDirectory::Expire(TimePoint now) {
+  std::vector<InstanceName> gone;
+  for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+    const auto& lapsed_at = entry->second.lapsed_at;
+    if (lapsed_at && *lapsed_at + kReturnTime <= now) {
+      gone.push_back(entry->first);
+      entry = m_entries.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+  return gone;
+}
+
+void ServerDirectory::MarkDeposed(const InstanceName& id) {
+  const auto found = m_entries.find(id);
+  if (found == m_entries.end())
+    return;
+  found->second.deposed = true;
+  const auto promoted = m_promoted.find(found->second.server.group);
+  if (promoted != m_promoted.end() && promoted->second == id)
+    m_promoted.erase(promoted);
+}
+
+void ServerDirectory::MarkPromoted(const GroupName& group,
+                                   const InstanceName& id) {
+  for (auto& [name, entry] : m_entries) {
+    if (entry.server.group == group)
+      entry.deposed = name != id;
+  }
+  m_promoted[group] = id;
+}
+
+const BackendServer* ServerDirectory::Primary(const GroupName& group) const {
+  const auto promoted = m_promoted.find(group);
+  if (promoted != m_promoted.end()) {
+    if (const BackendServer* server = Find(promoted->second))
+      return server;
+  }
+  const Entry* best = nullptr;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.server.group != group || entry.deposed ||
+        entry.server.role != ReplicationRole::kPrimary)
+      continue;
+    if (!best || entry.role_since > best->role_since)
+      best = &entry;
+  }
+  return best ? &best->server : nullptr;
+}
+
+std::vector<const BackendServer*> ServerDirectory::Serving(
+    const GroupName& group) const {
+  std::vector<const BackendServer*> servers = All(group);
+  std::erase_if(servers,
+                [](const BackendServer* server) { return server->draining; });
+  return servers;
+}
+
+std::vector<const BackendServer*> ServerDirectory::All(
+    const GroupName& group) const {
+  std::vector<const BackendServer*> servers;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.server.group == group)
+      servers.push_back(&entry.server);
+  }
+  return servers;
+}
+
+const BackendServer* ServerDirectory::Find(const InstanceName& id) const {
+  const auto found = m_entries.find(id);
+  return found == m_entries.end() ? nullptr : &found->second.server;
+}
+
+std::set<GroupName> ServerDirectory::Groups() const {
+  std::set<GroupName> groups;
+  for (const auto& [id, entry] : m_entries)
+    groups.insert(entry.server.group);
+  return groups;
+}
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/statement_run.cc
@@ -0,0 +1,473 @@
+#include "gateway/statement_run.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/placement.h"
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+using CommandKind = BackendCommand::Kind;
+using StatementKind = ClientStatement::Kind;
+
+// Between two attempts while a group has no known primary, or after a refusal.
+constexpr Duration kRetryDelay = 15ms;
+// A replica that refused a read as lagging gets no read that it might refuse
+// for this time.
+constexpr Duration kLaggingTime = 250ms;
+// Covers the resolution of PositionHistory and the time between the client's
+// first byte and the choice of a position.
+constexpr Duration kStalenessMargin = 50ms;
+// A replica needs some time to apply a commit of the session itself.
+constexpr Duration kUsualLag = 250ms;
+// A connection that has given no answer for this long is closed.
+constexpr Duration kAbandonedTime = 3s;
+// The share of the statement's time limit within which it must have been sent.
+constexpr double kWaitShare = 0.6;
+// A repeatable read without an answer after this share of its latency target
+// is sent to another instance.
+constexpr double kSilenceShare = 0.75;
+constexpr Duration kMinSilence = 120ms;
+// A statement of a transaction cannot move, so it is given up later.
+constexpr Duration kMinTransactionSilence = 250ms;
+
+Duration Share(Duration whole, double share) {
+  return std::chrono::duration_cast<Duration>(whole * share);
+}
+
+ClientReply ErrorReply(ReplyCode code, std::string message) {
+  ClientReply reply;
+  reply.code = code;
+  reply.message = std::move(message);
+  return reply;
+}
+
+}  // namespace
+
+std::shared_ptr<StatementRun> StatementRun::Create(GatewayContext& context,
+                                                   Input input,
+                                                   OnDone on_done) {
+  return std::shared_ptr<StatementRun>(
+      new StatementRun(context, std::move(input), std::move(on_done)));
+}
+
+StatementRun::StatementRun(GatewayContext& context, Input input, OnDone on_done)
+    : m_context(context),
+      m_input(std::move(input)),
+      m_on_done(std::move(on_done)),
+      m_received(context.timers.now()),
+      m_deadline(m_received + m_input.route.statement_timeout),
+      m_give_up(m_received +
+                Share(m_input.route.statement_timeout, kWaitShare)) {}
+
+bool StatementRun::writes() const {
+  return m_input.statement.kind == StatementKind::kWrite ||
+         (m_input.prepared && m_input.prepared->writes);
+}
+
+bool StatementRun::needs_primary() const {
+  return writes() || m_input.transaction == Transaction::kReadWrite ||
+         m_input.route.freshness == ReadFreshness::kPrimary;
+}
+
+bool StatementRun::repeatable() const {
+  return !in_transaction() && !writes();
+}
+
+bool StatementRun::changes_data() const {
+  return writes() || (is_commit() && m_input.transaction_wrote);
+}
+
+void StatementRun::Start() {
+  if (!m_input.connection)
+    return Place();
+  m_connection = std::move(m_input.connection);
+  m_target = m_connection->server.id;
+  SendStatement();
+}
+
+void StatementRun::Abandon() {
+  m_on_done = nullptr;
+}
+
+void StatementRun::Place() {
+  if (!m_on_done)
+    return;
+  if (m_context.timers.now() >= m_give_up)
+    return Refuse("no_instance_in_time");
+  ++m_attempts;
+  const BackendServer* server = ChooseServer();
+  if (!server) {
+    m_avoided.clear();
+    return PlaceAgain(kRetryDelay);
+  }
+  m_target = server->id;
+  m_context.pool.Acquire(
+      *server, m_input.route.priority, m_give_up - m_context.timers.now(),
+      [self =
+           shared_from_this()](Result<BackendPool::ConnectionPtr> connection) {
+        self->Acquired(std::move(connection));
+      });
+}
+
+const BackendServer* StatementRun::ChooseServer() {
+  const GroupName& group = m_input.route.group;
+  m_required.reset();
+  if (!needs_primary())
+    return ChooseForRead();
+  const BackendServer* primary = m_context.directory.Primary(group);
+  if (!primary || m_context.pool.Unreachable(primary->id))
+    return nullptr;
+  return primary;
+}
+
+const BackendServer* StatementRun::ChooseForRead() {
+  const GroupName& group = m_input.route.group;
+  const TimePoint now = m_context.timers.now();
+  PositionHistory& history = m_context.positions[group];
+  m_required =
+      history.Covering(now - m_input.route.max_staleness + kStalenessMargin);
+  bool recently_written = false;
+  if (m_required && m_input.own_commit) {
+    m_required = std::max(*m_required, *m_input.own_commit);
+    const auto seen = history.SeenAt(*m_input.own_commit);
+    recently_written = *m_required == *m_input.own_commit &&
+                       (!seen || *seen + kUsualLag > now);
+  }
+  const BackendServer* primary = m_context.directory.Primary(group);
+  std::vector<ReadCandidate> candidates;
+  for (const BackendServer* server : m_context.directory.Serving(group)) {
+    const ReplicaProgress& progress = m_context.progress[server->id];
+    candidates.push_back({.id = server->id,
+                          .primary = primary && primary->id == server->id,
+                          .same_zone = server->zone == m_context.zone,
+                          .outstanding = m_context.pool.Outstanding(server->id),
+                          .unreachable = m_context.pool.Unreachable(server->id),
+                          .applied = progress.applied,
+                          .lagging = now < progress.lagging_until});
+  }
+  const auto chosen =
+      PlaceRead(candidates, m_required, recently_written, m_avoided);
+  return chosen ? m_context.directory.Find(*chosen) : nullptr;
+}
+
+void StatementRun::PlaceAgain(Duration delay) {
+  m_context.timers.After(delay, [self = shared_from_this()] { self->Place(); });
+}
+
+void StatementRun::Acquired(Result<BackendPool::ConnectionPtr> connection) {
+  if (connection) {
+    m_connection = std::move(connection.value());
+    if (!m_on_done)
+      return m_context.pool.Release(std::move(m_connection));
+    const BackendServer* primary =
+        m_context.directory.Primary(m_input.route.group);
+    const bool leads = primary && primary->id == m_target;
+    m_wrapped = !in_transaction() && !writes() && leads;
+    // The instance may have become primary, or stopped being it, while the
+    // statement waited.
+    if (!leads && !m_required) {
+      m_context.pool.Release(std::move(m_connection));
+      return PlaceAgain(Duration(0));
+    }
+    if (in_transaction() || m_wrapped)
+      return BeginTransaction();
+    return SendStatement();
+  }
+  if (!m_on_done)
+    return;
+  const Error& error = connection.error();
+  Log("no_connection",
+      {{"reason", error.step}, {"error", std::string(ToString(error.code))}});
+  if (error.code == ErrorCode::kExhausted && error.step == "pool.wait")
+    return Refuse("no_connection_in_time");
+  if (const BackendServer* server = m_context.directory.Find(m_target)) {
+    if (error.step != "pool.acquire")
+      NoteOpenFailure(*server, error.code);
+  }
+  m_avoided.insert(m_target);
+  PlaceAgain(needs_primary() ? kRetryDelay : Duration(0));
+}
+
+void StatementRun::NoteOpenFailure(const BackendServer& server,
+                                   ErrorCode code) {
+  const TimePoint now = m_context.timers.now();
+  if (code == ErrorCode::kTimeout)
+    m_context.watch.OpenTimedOut(server.id, now);
+  else if (code == ErrorCode::kUnavailable)
+    m_context.watch.Refused(server.id, now);
+}
+
+void StatementRun::BeginTransaction() {
+  const bool read_only =
+      m_input.transaction == Transaction::kReadOnly && m_required;
+  const BackendServer* primary =
+      m_context.directory.Primary(m_input.route.group);
+  const bool leads = primary && primary->id == m_target;
+  auto commands =
+      PrepareConnection(m_input.session, nullptr, m_connection->state);
+  BackendCommand begin;
+  // A plain transaction fails on an instance that has lost the lead.
+  begin.kind =
+      read_only && !leads ? CommandKind::kBeginRead : CommandKind::kBegin;
+  if (begin.kind == CommandKind::kBeginRead)
+    begin.after = m_required;
+  commands.push_back(std::move(begin));
+  Send(std::move(commands), [this](const std::vector<BackendReply>& replies) {
+    const BackendReply& begun = replies.back();
+    if (begun.code == ReplyCode::kDone) {
+      m_required.reset();
+      return SendStatement();
+    }
+    m_context.pool.Release(std::move(m_connection));
+    if (!TryAgain(begun))
+      Finish(ErrorReply(begun.code, begun.message));
+  });
+}
+
+BackendCommand StatementRun::StatementCommand() const {
+  const ClientStatement& statement = m_input.statement;
+  BackendCommand command;
+  command.id = statement.id;
+  command.kind = CommandKind::kForward;
+  command.text = statement.text;
+  if (m_input.prepared) {
+    command.kind = CommandKind::kExecute;
+    command.name = m_input.prepared->SharedName();
+    command.argument = statement.argument;
+  }
+  if (!in_transaction() && !m_wrapped && !writes())
+    command.after = m_required;
+  return command;
+}
+
+void StatementRun::SendStatement() {
+  auto commands = PrepareConnection(
+      m_input.session, m_input.prepared ? &*m_input.prepared : nullptr,
+      m_connection->state);
+  commands.push_back(StatementCommand());
+  const size_t index = commands.size() - 1;
+  if (m_wrapped)
+    commands.push_back({.kind = CommandKind::kRollback});
+  Send(std::move(commands),
+       [this, index](const std::vector<BackendReply>& replies) {
+         StatementReplied(replies[index]);
+       });
+}
+
+void StatementRun::Send(
+    std::vector<BackendCommand> commands,
+    std::function<void(std::vector<BackendReply>)> on_replies) {
+  const uint64_t batch = ++m_batch;
+  m_asked = m_context.timers.now();
+  TimePoint silent_at = m_deadline;
+  if (!changes_data())
+    silent_at = std::min(silent_at, m_asked + SilenceLimit());
+  m_silence_timer =
+      m_context.timers.After(std::max(silent_at - m_asked, Duration(0)),
+                             [self = shared_from_this(), batch] {
+                               if (batch == self->m_batch)
+                                 self->Silent();
+                             });
+  m_context.watch.Sent(m_target, changes_data(), m_asked);
+  m_connection->session->Send(
+      std::move(commands),
+      [self = shared_from_this(), batch, on_replies = std::move(on_replies)](
+          Result<std::vector<BackendReply>> replies) {
+        self->Replied(batch, std::move(replies), on_replies);
+      });
+}
+
+void StatementRun::Replied(
+    uint64_t batch,
+    Result<std::vector<BackendReply>> replies,
+    const std::function<void(std::vector<BackendReply>)>& use) {
+  if (batch != m_batch)
+    return;
+  m_context.timers.Cancel(m_silence_timer);
+  if (!replies)
+    return Broken(replies.error().message);
+  m_context.watch.Answered(m_target, changes_data(), m_context.timers.now());
+  if (!m_on_done)
+    return RollBack();
+  use(std::move(replies.value()));
+}
+
+void StatementRun::Silent() {
+  // Replies that still come belong to an older batch and are ignored.
+  ++m_batch;
+  const BackendServer server = m_connection->server;
+  Log("silent", {{"after_us",
+                  std::to_string((m_context.timers.now() - m_asked).count())}});
+  m_context.watch.Lost(m_target, changes_data(), m_context.timers.now());
+  if (!m_on_done)
+    return m_context.pool.Discard(std::move(m_connection));
+  if (repeatable()) {
+    // The instance may still be at work; closing now would waste that.
+    auto kept =
+        std::make_shared<BackendPool::ConnectionPtr>(std::move(m_connection));
+    m_context.timers.After(kAbandonedTime, [&pool = m_context.pool, kept] {
+      pool.Discard(std::move(*kept));
+    });
+    m_avoided.insert(server.id);
+    return Place();
+  }
+  m_context.pool.Discard(std::move(m_connection));
+  FinishUnanswered("no answer in time");
+}
+
+void StatementRun::FinishUnanswered(const std::string& message) {
+  const bool may_be_kept =
+      in_transaction() ? is_commit() && changes_data() : changes_data();
+  // Without a commit, closing the connection rolls the transaction back.
+  Finish(ErrorReply(may_be_kept ? ReplyCode::kUnknown : ReplyCode::kAborted,
+                    message));
+}
+
+Duration StatementRun::SilenceLimit() const {
+  const Duration target = m_input.route.target_latency;
+  if (in_transaction())
+    return std::max(kMinTransactionSilence, target);
+  return std::max(kMinSilence, Share(target, kSilenceShare));
+}
+
+void StatementRun::Broken(const std::string& message) {
+  ++m_batch;
+  const BackendServer server = m_connection->server;
+  m_context.watch.Lost(m_target, changes_data(), m_context.timers.now());
+  m_context.pool.Discard(std::move(m_connection));
+  if (!m_on_done)
+    return;
+  Log("broken", {{"error", message}});
+  if (repeatable()) {
+    m_avoided.insert(server.id);
+    return PlaceAgain(Duration(0));
+  }
+  FinishUnanswered("the connection broke");
+}
+
+void StatementRun::NotePosition(const BackendReply& reply) {
+  if (!reply.position)
+    return;
+  const BackendServer& server = m_connection->server;
+  const BackendServer* primary = m_context.directory.Primary(server.group);
+  // Only an answer that an instance gives as leader tells where the log stands.
+  const bool led =
+      writes() || m_wrapped || m_input.transaction == Transaction::kReadWrite;
+  if (primary && primary->id == server.id) {
+    if (led && !is_commit())
+      m_context.positions[server.group].Observe(m_asked, *reply.position);
+    return;
+  }
+  auto& applied = m_context.progress[server.id].applied;
+  applied = applied ? std::max(*applied, *reply.position) : *reply.position;
+}
+
+void StatementRun::StatementReplied(const BackendReply& reply) {
+  if (reply.code == ReplyCode::kDone)
+    NotePosition(reply);
+  if (reply.code == ReplyCode::kNoStatement)
+    m_connection->state.prepared.clear();
+  ClientReply answer;
+  answer.code = reply.code;
+  answer.rows = reply.rows;
+  answer.signature = reply.signature;
+  answer.message = reply.message;
+  answer.position = reply.position;
+  if (in_transaction() && reply.code == ReplyCode::kDone && !is_commit()) {
+    answer.state = TransactionState::kOpen;
+    return Finish(std::move(answer));
+  }
+  if (in_transaction() && reply.code != ReplyCode::kDone) {
+    // The first statement can still move to another instance.
+    const bool first = m_attempts > 0 && !is_commit();
+    RollBack();
+    if (first && TryAgain(reply))
+      return;
+    return Finish(std::move(answer));
+  }
+  m_context.pool.Release(std::move(m_connection));
+  if (reply.code != ReplyCode::kDone && TryAgain(reply))
+    return;
+  Finish(std::move(answer));
+}
+
+bool StatementRun::TryAgain(const BackendReply& reply) {
+  if (!PromisesNotRun(reply.code))
+    return false;
+  Log("retry", {{"code", std::string(ToString(reply.code))},
+                {"message", reply.message}});
+  switch (reply.code) {
+    case ReplyCode::kReadOnly:
+      m_context.directory.MarkDeposed(m_target);
+      break;
+    case ReplyCode::kLagging:
+      m_context.progress[m_target].lagging_until =
+          m_context.timers.now() + kLaggingTime;
+      m_avoided.insert(m_target);
+      PlaceAgain(Duration(0));
+      return true;
+    case ReplyCode::kBusy:
+      m_avoided.insert(m_target);
+      break;
+    default:
+      break;
+  }
+  PlaceAgain(kRetryDelay);
+  return true;
+}
+
+void StatementRun::Refuse(const std::string& reason) {
+  Log("refused",
+      {{"reason", reason},
+       {"waited_us",
+        std::to_string((m_context.timers.now() - m_received).count())},
+       {"attempts", std::to_string(m_attempts)}});
+  Finish(ErrorReply(ReplyCode::kBusy, reason));
+}
+
+void StatementRun::RollBack() {
+  if (!m_connection)
+    return;
+  if (!in_transaction())
+    return m_context.pool.Release(std::move(m_connection));
+  if (!m_connection->session->is_open())
+    return m_context.pool.Discard(std::move(m_connection));
+  auto kept =
+      std::make_shared<BackendPool::ConnectionPtr>(std::move(m_connection));
+  auto& pool = m_context.pool;
+  (*kept)->session->Send({{.kind = CommandKind::kRollback}},
+                         [&pool, kept](const auto& replies) {
+                           if (replies)
+                             pool.Release(std::move(*kept));
+                           else
+                             pool.Discard(std::move(*kept));
+                         });
+}
+
+void StatementRun::Finish(ClientReply reply) {
+  if (std::exchange(m_finished, true))
+    return;
+  m_context.timers.Cancel(m_silence_timer);
+  const OnDone on_done = std::exchange(m_on_done, nullptr);
+  if (!on_done)
+    return RollBack();
+  on_done({std::move(reply), std::move(m_connection)});
+}
+
+void StatementRun::Log(const std::string& step, GatewayLog::Fields fields) {
+  if (m_context.deployment)
+    fields["config_version"] = std::to_string(m_context.deployment->version);
+  if (m_required) {
+    fields["required"] = std::to_string(m_required->term) + "." +
+                         std::to_string(m_required->number);
+  }
+  fields["database"] = m_input.route.database;
+  m_context.log.Request(m_input.statement.id, m_input.route.group, step,
+                        m_target.value(), std::move(fields));
+}
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/store_sync.cc
@@ -0,0 +1,109 @@
+#include "gateway/store_sync.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+
+constexpr Duration kListTimeout = 1'500ms;
+// A watch that the store does not end, on a connection that fell silent, hides
+// changes for this long.
+constexpr Duration kWatchWait = 2'500ms;
+constexpr Duration kFirstRetry = 50ms;
+constexpr Duration kLongestRetry = 800ms;
+constexpr unsigned kRetryDoublings = 4;
+
+}  // namespace
+
+StoreSync::StoreSync(MetadataStore& store,
+                     Timers& timers,
+                     RecordCollection collection,
+                     uint64_t seed,
+                     Hooks hooks)
+    : m_store(store),
+      m_timers(timers),
+      m_collection(collection),
+      m_hooks(std::move(hooks)),
+      m_random(seed),
+      m_self(std::make_shared<StoreSync*>(this)) {}
+
+StoreSync::~StoreSync() {
+  *m_self = nullptr;
+}
+
+void StoreSync::Start() {
+  List();
+}
+
+void StoreSync::List() {
+  m_store.List(m_collection, kListTimeout,
+               [self = m_self](Result<RecordList> list) {
+                 if (*self)
+                   (*self)->Listed(std::move(list));
+               });
+}
+
+void StoreSync::Listed(Result<RecordList> list) {
+  if (!list)
+    return Failed(list.error(), true);
+  NoteContact();
+  m_revision = list.value().revision;
+  m_hooks.on_list(list.value());
+  Watch();
+}
+
+void StoreSync::Watch() {
+  m_store.Watch(m_collection, m_revision, kWatchWait,
+                [self = m_self](Result<RecordChanges> changes) {
+                  if (*self)
+                    (*self)->Watched(std::move(changes));
+                });
+}
+
+void StoreSync::Watched(Result<RecordChanges> changes) {
+  if (!changes)
+    return Failed(changes.error(),
+                  changes.error().code == ErrorCode::kNotFound);
+  NoteContact();
+  for (const RecordChange& change : changes.value().changes)
+    m_hooks.on_change(change);
+  m_revision = std::max(m_revision, changes.value().revision);
+  Watch();
+}
+
+void StoreSync::Failed(const Error& error, bool list_again) {
+  // A watch may be cut off while the store is well, and history may be dropped;
+  // only a second failure in a row shows an outage.
+  if (++m_failures == 2 && m_in_contact) {
+    m_in_contact = false;
+    m_hooks.on_contact(&error);
+  }
+  const Duration longest =
+      std::min(kFirstRetry * (1 << std::min(m_failures, kRetryDoublings)),
+               kLongestRetry);
+  // Random, so that proxies that lost the store together return one by one.
+  const Duration delay(std::uniform_int_distribution<int64_t>(
+      longest.count() / 4, longest.count())(m_random));
+  m_timers.After(delay, [self = m_self, list_again] {
+    if (!*self)
+      return;
+    if (list_again || (*self)->m_revision == 0)
+      (*self)->List();
+    else
+      (*self)->Watch();
+  });
+}
+
+void StoreSync::NoteContact() {
+  m_failures = 0;
+  if (m_in_contact)
+    return;
+  m_in_contact = true;
+  m_hooks.on_contact(nullptr);
+}
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/store_sync.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+
+#include "gateway/metadata_store.h"
+#include "gateway/timers.h"
+
+namespace jackdawturn::gateway {
+
+// Keeps up with one collection of records: lists it, then watches it, and lists
+// it again when the store has forgotten the history in between. Thread safety:
+// not thread-safe.
+class StoreSync {
+ public:
+  struct Hooks {
+    std::function<void(const RecordList&)> on_list;
+    std::function<void(const RecordChange&)> on_change;
+    // The store was lost, with the error, or regained, with null.
+    std::function<void(const Error* lost)> on_contact;
+  };
+
+  // `store` and `timers` outlive this.
+  StoreSync(MetadataStore& store,
+            Timers& timers,
+            RecordCollection collection,
+            uint64_t seed,
+            Hooks hooks);
+  ~StoreSync();
+  StoreSync(const StoreSync&) = delete;
+  StoreSync& operator=(const StoreSync&) = delete;
+
+  void Start();
+  bool in_contact() const { return m_in_contact; }
+
+ private:
+  void List();
+  void Listed(Result<RecordList> list);
+  void Watch();
+  void Watched(Result<RecordChanges> changes);
+  void Failed(const Error& error, bool list_again);
+  void NoteContact();
+
+  MetadataStore& m_store;
+  Timers& m_timers;
+  const RecordCollection m_collection;
+  Hooks m_hooks;
+  std::mt19937_64 m_random;
+  // Hooks that outlive this object find it gone.
+  std::shared_ptr<StoreSync*> m_self;
+  uint64_t m_revision = 0;
+  unsigned m_failures = 0;
+  bool m_in_contact = false;
+};
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/timers.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+
+#include "core/core.h"
+
+namespace jackdawturn::gateway {
+
+// The port to a clock and its timers. Thread safety: all methods and actions
+// run on one thread.
+class Timers {
+ public:
+  using TimerId = uint64_t;
+
+  virtual ~Timers() = default;
+
+  // Also counts time during which the VM was suspended, so that knowledge from
+  // before a suspension is not taken for recent.
+  virtual TimePoint now() const = 0;
+
+  // Runs the action once after the delay. Returns an id that is not 0.
+  virtual TimerId After(Duration delay, std::function<void()> action) = 0;
+
+  // Has no effect on 0 and on timers that have run.
+  virtual void Cancel(TimerId timer) = 0;
+};
+
+}  // namespace jackdawturn::gateway
--- a/libraries/http/http_client.cc
+++ b/libraries/http/http_client.cc
@@ -56,7 +56,8 @@
             const std::string& body,
             const std::string& authorization,
             Duration timeout,
-            OnResponse on_response) override {
+            OnResponse on_response,
+            const HttpHeaders& headers) override {
     VERIFY(!m_on_response);
     m_on_response = std::move(on_response);
     if (!m_open)
@@ -69,6 +70,8 @@
     m_request.set(http::field::host, m_host);
     if (!authorization.empty())
       m_request.set(http::field::authorization, authorization);
+    for (const auto& [name, value] : headers)
+      m_request.set(name, value);
     if (!body.empty())
       m_request.set(http::field::content_type, "application/json");
     m_request.body() = body;
@@ -150,6 +153,7 @@
     std::string body;
     TimePoint deadline;
     HttpConnection::OnResponse on_response;
+    HttpHeaders headers = {};
     // Ends the request when no connection was free by then.
     std::shared_ptr<asio::steady_timer> timer = {};
   };
@@ -229,18 +233,20 @@
   // the event loop ends would otherwise keep both alive.
   void Run(const std::shared_ptr<HttpConnection>& connection, Pending request) {
     const std::weak_ptr<HttpConnection> weak = connection;
-    connection->Send(request.method, request.target, request.body,
-                     authorization, Left(request),
-                     [self = shared_from_this(), weak,
-                      on_response = std::move(request.on_response)](
-                         Result<HttpResponse> response) {
-                       --self->in_use;
-                       const auto used = weak.lock();
-                       if (used && used->is_open())
-                         self->idle.push_back(used);
-                       on_response(std::move(response));
-                       self->Pump();
-                     });
+    connection->Send(
+        request.method, request.target, request.body, authorization,
+        Left(request),
+        [self = shared_from_this(), weak,
+         on_response =
+             std::move(request.on_response)](Result<HttpResponse> response) {
+          --self->in_use;
+          const auto used = weak.lock();
+          if (used && used->is_open())
+            self->idle.push_back(used);
+          on_response(std::move(response));
+          self->Pump();
+        },
+        request.headers);
   }
 
   static Duration Left(const Pending& request) {
@@ -275,10 +281,11 @@
                       const std::string& target,
                       const std::string& body,
                       Duration timeout,
-                      HttpConnection::OnResponse on_response) {
+                      HttpConnection::OnResponse on_response,
+                      HttpHeaders headers) {
   m_state->pending.push_back({method, target, body,
                               MonotonicClock::now() + timeout,
-                              std::move(on_response)});
+                              std::move(on_response), std::move(headers)});
   // With nobody waiting before it, Pump sends the request at once if it can.
   m_state->Pump();
   if (!m_state->pending.empty() && !m_state->pending.back().timer)
--- a/libraries/http/http_client.h
+++ b/libraries/http/http_client.h
@@ -33,7 +33,8 @@
                     const std::string& body,
                     const std::string& authorization,
                     Duration timeout,
-                    OnResponse on_response) = 0;
+                    OnResponse on_response,
+                    const HttpHeaders& headers = {}) = 0;
 
   virtual bool is_open() const = 0;
   // Closes the socket; a request in progress gets kTimeout.
@@ -60,7 +61,8 @@
             const std::string& target,
             const std::string& body,
             Duration timeout,
-            HttpConnection::OnResponse on_response);
+            HttpConnection::OnResponse on_response,
+            HttpHeaders headers = {});
 
   const Endpoint& endpoint() const;
 
--- a/libraries/http/http_types.h
+++ b/libraries/http/http_types.h
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -24,6 +26,9 @@
 // Converts to the type of Boost.Asio. Errors: kInvalidArgument. Thread-safe.
 Result<boost::asio::ip::tcp::endpoint> ToTcpEndpoint(const Endpoint& endpoint);
 
+// Names and values of further headers of a request.
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
 struct HttpRequest {
   std::string method;
   // Path and query, as received.
@@ -49,6 +54,7 @@
 inline constexpr unsigned kHttpUnauthorized = 401;
 inline constexpr unsigned kHttpNotFound = 404;
 inline constexpr unsigned kHttpConflict = 409;
+inline constexpr unsigned kHttpGone = 410;
 inline constexpr unsigned kHttpPayloadTooLarge = 413;
 inline constexpr unsigned kHttpTooManyRequests = 429;
 inline constexpr unsigned kHttpInternal = 500;
--- a/programs/jackdawturn/commands.h
+++ b/programs/jackdawturn/commands.h
@@ -26,6 +26,7 @@
 void AddStandinCommands(CLI::App& app, RunCommand& run);
 void AddDemoCommand(CLI::App& app, RunCommand& run);
 void AddBenchCommand(CLI::App& app, RunCommand& run);
+void AddGatewayCommand(CLI::App& app, RunCommand& run);
 void AddOperatorCommands(CLI::App& app, RunCommand& run);
 
 }  // namespace jackdawturn
--- /dev/null
+++ b/programs/jackdawturn/gateway_command.cc
@@ -0,0 +1,148 @@
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "commands.h"
+#include "gateway/asio_timers.h"
+#include "gateway/gateway.h"
+#include "platform/platform.h"
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+
+constexpr size_t kLogEvents = 8'192;
+// The balancer sends no new connections after it was told twice.
+constexpr Duration kBalancerTime = 2'300ms;
+constexpr Duration kSessionCheck = 50ms;
+// The share of the time until the process is killed within which it ends.
+constexpr double kGraceShare = 0.85;
+
+// A gateway process: its ports, its decisions and the way it ends.
+class GatewayProcess {
+ public:
+  explicit GatewayProcess(const platform::NodeSettings& settings)
+      : m_settings(settings),
+        m_timers(m_context),
+        m_event_log(STDOUT_FILENO, kLogEvents),
+        m_log(&m_event_log, m_metrics, settings.name),
+        m_store(platform::CreateObjectStore(m_context, settings.store)),
+        m_host({.name = settings.name,
+                .zone = settings.zone,
+                .seed = std::random_device()()},
+               {.timers = m_timers,
+                .store = *m_store,
+                .open = platform::CreateBackendOpener(m_context, m_timers),
+                .promote = platform::CreatePromoter(m_context,
+                                                    settings.promotions,
+                                                    settings.name),
+                .read_status = platform::DecodeStatusRow,
+                .decode_deployment = platform::DecodeDeployment,
+                .decode_server = platform::DecodeServer},
+               m_log) {}
+
+  Result<int> Run() {
+    TRY(m_listener, platform::ClientListener::Create(
+                        m_context, m_settings.clients, m_host));
+    TRY(m_readiness,
+        HttpServer::Create(
+            m_context, m_settings.readiness, {},
+            [this](const HttpRequest&, const HttpServer::Respond& respond) {
+              respond({.status = m_host.ready() ? kHttpOk : kHttpUnavailable,
+                       .body = ""});
+            },
+            nullptr));
+    m_log.Belief(EventKind::kProcess, GroupName(), "start", "",
+                 {{"zone", m_settings.zone.value()}});
+    m_host.Start();
+    boost::asio::signal_set signals(m_context, SIGTERM, SIGINT);
+    signals.async_wait([this](boost::system::error_code error, int) {
+      if (!error)
+        Drain();
+    });
+    boost::asio::signal_set reload(m_context, SIGHUP);
+    WaitForReload(reload);
+    m_context.run();
+    m_log.Belief(EventKind::kProcess, GroupName(), "stop", "", {});
+    return kExitDone;
+  }
+
+ private:
+  // Addresses come from the settings and only change with a restart.
+  void WaitForReload(boost::asio::signal_set& signals) {
+    signals.async_wait([this, &signals](boost::system::error_code error, int) {
+      if (error)
+        return;
+      m_log.Belief(EventKind::kProcess, GroupName(), "reload", "", {});
+      WaitForReload(signals);
+    });
+  }
+
+  void Drain() {
+    m_host.Drain();
+    m_drain_ends = m_timers.now() + std::chrono::duration_cast<Duration>(
+                                        m_settings.grace * kGraceShare);
+    m_timers.After(std::min(kBalancerTime, m_settings.grace / 3),
+                   [this] { CloseSessions(); });
+  }
+
+  void CloseSessions() {
+    m_listener->CloseIdleSessions();
+    if (m_listener->sessions() == 0 || m_timers.now() >= m_drain_ends) {
+      m_log.Belief(EventKind::kProcess, GroupName(), "drained", "",
+                   {{"sessions", std::to_string(m_listener->sessions())}});
+      m_context.stop();
+      return;
+    }
+    m_timers.After(kSessionCheck, [this] { CloseSessions(); });
+  }
+
+  const platform::NodeSettings m_settings;
+  boost::asio::io_context m_context{1};
+  AsioTimers m_timers;
+  EventLog m_event_log;
+  MetricRegistry m_metrics;
+  GatewayLog m_log;
+  std::unique_ptr<MetadataStore> m_store;
+  GatewayHost m_host;
+  std::unique_ptr<platform::ClientListener> m_listener;
+  std::unique_ptr<HttpServer> m_readiness;
+  TimePoint m_drain_ends;
+};
+
+Result<int> RunGateway(const std::string& path) {
+  TRY(const auto settings, platform::LoadNodeSettings(path));
+  GatewayProcess process(settings);
+  return process.Run();
+}
+
+}  // namespace
+}  // namespace jackdawturn::gateway
+
+namespace jackdawturn {
+
+void AddGatewayCommand(CLI::App& app, RunCommand& run) {
+  auto path = std::make_shared<std::string>();
+  auto* gateway = app.add_subcommand(
+      "gateway",
+      "Serve clients of the statement protocol until SIGTERM, then drain.");
+  gateway
+      ->add_option("--settings", *path,
+                   "Settings file of the platform, in JSON")
+      ->envname(gateway::platform::kSettingsVariable)
+      ->required();
+  gateway->callback(
+      [&run, path] { run = [path] { return gateway::RunGateway(*path); }; });
+}
+
+}  // namespace jackdawturn
--- a/programs/jackdawturn/main.cc
+++ b/programs/jackdawturn/main.cc
@@ -16,6 +16,7 @@
   AddOperatorCommands(app, run);
   AddDemoCommand(app, run);
   AddBenchCommand(app, run);
+  AddGatewayCommand(app, run);
   AddStandinCommands(app, run);
   try {
     app.parse(argc, argv);
