Gateway: Probe again after a claim, and end transactions of clients that left

Change: after the claim every instance is asked again; another leader ends the change; replicas are resumed after each change.

Change: a connection is returned by one function that rolls back what the instance last reported as open.

Also: writes that went unanswered while the primary was out of reach no longer count as stalled replication; a full instance lends a pooled connection to a change of primary; a primary whose writes stall gets one write at a time.

--- a/libraries/gateway/backend_pool.cc
+++ b/libraries/gateway/backend_pool.cc
@@ -182,6 +182,31 @@
   OpenMore(target);
 }
 
+void BackendPool::RollBackAndRelease(ConnectionPtr connection,
+                                     TransactionState state) {
+  if (state == TransactionState::kNone)
+    return Release(std::move(connection));
+  if (!connection->session->is_open())
+    return Discard(std::move(connection));
+  auto kept = std::make_shared<ConnectionPtr>(std::move(connection));
+  BackendSession& session = *(*kept)->session;
+  const auto timer =
+      m_timers.After(m_options.rollback_timeout, [self = m_self, kept] {
+        if (*self && *kept)
+          (*self)->Discard(std::move(*kept));
+      });
+  session.Send({{.kind = BackendCommand::Kind::kRollback}},
+               [self = m_self, kept, timer](const auto& replies) {
+                 if (!*self || !*kept)
+                   return;
+                 (*self)->m_timers.Cancel(timer);
+                 if (replies)
+                   (*self)->Release(std::move(*kept));
+                 else
+                   (*self)->Discard(std::move(*kept));
+               });
+}
+
 void BackendPool::Discard(ConnectionPtr connection) {
   const auto found = m_targets.find(connection->server.id);
   connection.reset();
--- a/libraries/gateway/backend_pool.h
+++ b/libraries/gateway/backend_pool.h
@@ -34,6 +34,8 @@
     // An instance without a free connection is asked again after this time.
     Duration full_time = std::chrono::milliseconds(40);
     Duration idle_time = std::chrono::seconds(5);
+    // A rollback without an answer by then ends with the connection.
+    Duration rollback_timeout = std::chrono::milliseconds(500);
     // An opening connection takes one of the instance's slots.
     size_t concurrent_opens = 2;
   };
@@ -55,6 +57,9 @@
   // Takes the connection back. Precondition: it has no transaction and no batch
   // in progress.
   void Release(ConnectionPtr connection);
+  // Takes the connection back; ends its transaction first, if it has one.
+  // Precondition: no batch is in progress.
+  void RollBackAndRelease(ConnectionPtr connection, TransactionState state);
   // Closes a connection whose state is not known.
   void Discard(ConnectionPtr connection);
 
--- a/libraries/gateway/client_session.cc
+++ b/libraries/gateway/client_session.cc
@@ -99,21 +99,9 @@
 
 void ClientSession::CloseTransaction() {
   m_context.timers.Cancel(m_transaction->idle_timer);
-  if (!m_transaction->connection)
-    return;
-  auto& pool = m_context.pool;
-  auto connection = std::make_shared<BackendPool::ConnectionPtr>(
-      std::move(m_transaction->connection));
-  if (!(*connection)->session->is_open())
-    return pool.Discard(std::move(*connection));
-  (*connection)
-      ->session->Send({{.kind = BackendCommand::Kind::kRollback}},
-                      [&pool, connection](const auto& replies) {
-                        if (replies)
-                          pool.Release(std::move(*connection));
-                        else
-                          pool.Discard(std::move(*connection));
-                      });
+  if (m_transaction->connection)
+    m_context.pool.RollBackAndRelease(std::move(m_transaction->connection),
+                                      TransactionState::kOpen);
 }
 
 void ClientSession::Run(const ClientStatement& statement) {
@@ -183,7 +171,7 @@
 void ClientSession::SettleTransaction(const ClientStatement& statement,
                                       bool wrote,
                                       StatementRun::Outcome& outcome) {
-  Transaction& transaction = *m_transaction;
+  ClientTransaction& transaction = *m_transaction;
   transaction.wrote = transaction.wrote || wrote;
   transaction.connection = std::move(outcome.connection);
   if (statement.kind == Kind::kCommit) {
--- a/libraries/gateway/client_session.h
+++ b/libraries/gateway/client_session.h
@@ -11,6 +11,18 @@
 
 namespace jackdawturn::gateway {
 
+// A transaction of the client. It has a connection after its first statement.
+struct ClientTransaction {
+  Route route;
+  bool read_only = false;
+  bool wrote = false;
+  bool failed = false;
+  // It was ended by the proxy, and the client was not told yet.
+  bool expired = false;
+  BackendPool::ConnectionPtr connection;
+  Timers::TimerId idle_timer = 0;
+};
+
 // One client's session: its values, prepared statements and transaction.
 // Statements run one after the other. Thread safety: not thread-safe.
 class ClientSession : public std::enable_shared_from_this<ClientSession> {
@@ -33,18 +45,6 @@
   bool idle() const;
 
  private:
-  // A transaction of the client. It has a connection after its first statement.
-  struct Transaction {
-    Route route;
-    bool read_only = false;
-    bool wrote = false;
-    bool failed = false;
-    // It was ended by the proxy, and the client was not told yet.
-    bool expired = false;
-    BackendPool::ConnectionPtr connection;
-    Timers::TimerId idle_timer = 0;
-  };
-
   ClientSession(GatewayContext& context, std::string database, OnReply on_reply)
       : m_context(context),
         m_database(std::move(database)),
@@ -75,7 +75,7 @@
   OnReply m_on_reply;
   SessionState m_state;
   std::optional<CommitPosition> m_own_commit;
-  std::optional<Transaction> m_transaction;
+  std::optional<ClientTransaction> m_transaction;
   std::shared_ptr<StatementRun> m_run;
   // Statements that came while another one was in progress.
   std::deque<ClientStatement> m_pending;
--- a/libraries/gateway/primary_change.cc
+++ b/libraries/gateway/primary_change.cc
@@ -1,6 +1,7 @@
 #include "gateway/primary_change.h"
 
 #include <algorithm>
+#include <sstream>
 #include <tuple>
 #include <utility>
 
@@ -13,6 +14,7 @@
 using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
 using CommandKind = BackendCommand::Kind;
 
+constexpr uint64_t kMostImportant = 0;
 constexpr Duration kOpenTimeout = 350ms;
 constexpr Duration kCommandTimeout = 400ms;
 constexpr Duration kStoreTimeout = 800ms;
@@ -111,6 +113,8 @@
     const InstanceName& id,
     jackdawturn::Result<std::unique_ptr<BackendSession>> opened) {
   Member& member = m_members[id];
+  if (!opened && opened.error().code == ErrorCode::kExhausted)
+    return BorrowConnection(member);
   if (!opened) {
     Log("unreachable",
         {{"instance", id.value()}, {"error", opened.error().message}});
@@ -125,11 +129,68 @@
   });
 }
 
+void PrimaryChange::BorrowConnection(Member& member) {
+  m_context.pool.Acquire(
+      member.server, kMostImportant, kOpenTimeout,
+      [self = shared_from_this(), &member](auto connection) {
+        if (connection) {
+          member.pooled = std::move(connection.value());
+        } else {
+          self->Log("unreachable", {{"instance", member.server.id.value()},
+                                    {"error", connection.error().message}});
+        }
+        self->Command(member, CommandKind::kStatus, [self](bool) {
+          if (--self->m_awaited == 0)
+            self->Probed();
+        });
+      });
+}
+
+void PrimaryChange::ReturnConnections() {
+  for (auto& [id, member] : m_members) {
+    member.session.reset();
+    if (!member.pooled)
+      continue;
+    // A command without an answer may still be in progress.
+    if (member.status)
+      m_context.pool.Release(std::move(member.pooled));
+    else
+      m_context.pool.Discard(std::move(member.pooled));
+  }
+}
+
+std::vector<PrimaryChange::Member*> PrimaryChange::Connected() {
+  std::vector<Member*> connected;
+  for (auto& [id, member] : m_members) {
+    if (member.status)
+      connected.push_back(&member);
+  }
+  return connected;
+}
+
+void PrimaryChange::CommandAll(const std::vector<Member*>& members,
+                               BackendCommand::Kind kind,
+                               std::function<void()> then) {
+  m_awaited = members.size();
+  if (m_awaited == 0)
+    return then();
+  const auto shared_then =
+      std::make_shared<std::function<void()>>(std::move(then));
+  for (Member* member : members) {
+    Command(*member, kind, [this, shared_then](bool) {
+      if (--m_awaited == 0)
+        (*shared_then)();
+    });
+  }
+}
+
 void PrimaryChange::Command(Member& member,
                             BackendCommand::Kind kind,
                             std::function<void(bool answered)> then) {
   member.status.reset();
-  if (!member.session || !member.session->is_open())
+  BackendSession* session =
+      member.pooled ? member.pooled->session.get() : member.session.get();
+  if (!session || !session->is_open())
     return then(false);
   auto self = shared_from_this();
   auto shared_then =
@@ -141,32 +202,33 @@
   const auto timer =
       m_context.timers.After(kCommandTimeout, [self, &member, finish] {
         member.session.reset();
+        if (member.pooled)
+          self->m_context.pool.Discard(std::move(member.pooled));
         finish(false);
       });
   BackendCommand command;
   command.kind = kind;
   command.term = m_pause_term;
-  member.session->Send(
-      {command}, [self, &member, finish, timer](const auto& replies) {
-        self->m_context.timers.Cancel(timer);
-        if (!replies || replies.value().front().code != ReplyCode::kDone) {
-          self->Log("command_failed",
-                    {{"instance", member.server.id.value()},
-                     {"error", replies ? replies.value().front().message
-                                       : replies.error().message}});
-          return finish(false);
-        }
-        const auto status = self->m_ports.read_status(replies.value().front());
-        if (status)
-          member.status = status.value();
-        else
-          self->Log("command_failed", {{"instance", member.server.id.value()},
-                                       {"error", status.error().message}});
-        finish(status.has_value());
-      });
+  session->Send({command}, [self, &member, finish, timer](const auto& replies) {
+    self->m_context.timers.Cancel(timer);
+    if (!replies || replies.value().front().code != ReplyCode::kDone) {
+      self->Log("command_failed",
+                {{"instance", member.server.id.value()},
+                 {"error", replies ? replies.value().front().message
+                                   : replies.error().message}});
+      return finish(false);
+    }
+    const auto status = self->m_ports.read_status(replies.value().front());
+    if (status)
+      member.status = status.value();
+    else
+      self->Log("command_failed", {{"instance", member.server.id.value()},
+                                   {"error", status.error().message}});
+    finish(status.has_value());
+  });
 }
 
-void PrimaryChange::Probed() {
+const PrimaryChange::Member* PrimaryChange::Leader() const {
   const Member* leader = nullptr;
   for (const auto& [id, member] : m_members) {
     if (!member.status || member.status->role != ReplicationRole::kPrimary)
@@ -174,11 +236,22 @@
     if (!leader || member.status->term > leader->status->term)
       leader = &member;
   }
+  return leader;
+}
+
+bool PrimaryChange::LeaderHasChanged() {
+  const Member* leader = Leader();
+  if (!leader || is_old_primary(*leader))
+    return false;
+  m_context.directory.MarkPromoted(m_options.group, leader->server.id);
+  return true;
+}
+
+void PrimaryChange::Probed() {
   const bool stalled = m_options.reason == ToString(SuspicionReason::kStalled);
-  if (leader && !is_old_primary(*leader)) {
-    m_context.directory.MarkPromoted(m_options.group, leader->server.id);
+  if (LeaderHasChanged())
     return End(Result::kFalseAlarm, "another instance leads");
-  }
+  const Member* leader = Leader();
   if (leader && m_kind == Kind::kFailure && !stalled)
     return End(Result::kFalseAlarm, "the primary answers");
   // A primary that does not answer cannot help its successor to catch up.
@@ -253,14 +326,44 @@
 }
 
 void PrimaryChange::Claimed(uint64_t revision) {
-  m_claimed = true;
   m_token = revision;
   m_claimed_at = m_context.timers.now();
   Log("claim",
       {{"token", std::to_string(revision)}, {"reason", m_options.reason}});
+  CommandAll(Connected(), CommandKind::kStatus, [this] { ProbedAgain(); });
+}
+
+void PrimaryChange::ProbedAgain() {
+  LogStatuses("status");
+  if (LeaderHasChanged()) {
+    Release();
+    return End(Result::kFalseAlarm, "another instance leads by now");
+  }
+  for (const auto& [id, member] : m_members) {
+    if (!is_old_primary(member) && !member.status) {
+      Release();
+      return End(Result::kNotPossible, "a replica does not answer any more");
+    }
+  }
   PauseReplicas();
 }
 
+void PrimaryChange::LogStatuses(const std::string& step) const {
+  for (const auto& [id, member] : m_members) {
+    if (!member.status)
+      continue;
+    std::ostringstream received;
+    received << member.status->received;
+    Log(step,
+        {{"instance", id.value()},
+         {"role", member.status->role == ReplicationRole::kPrimary ? "primary"
+                                                                   : "replica"},
+         {"term", std::to_string(member.status->term)},
+         {"received", received.str()},
+         {"paused_term", std::to_string(member.status->paused_term)}});
+  }
+}
+
 void PrimaryChange::PauseReplicas() {
   if (!MembersUnchanged())
     return End(Result::kFailed, "the group's instances have changed");
@@ -283,28 +386,20 @@
     if (!is_old_primary(member) && id != m_candidate)
       paused.push_back(&member);
   }
-  m_awaited = paused.size();
-  if (m_awaited == 0)
-    return Paused();
-  for (Member* member : paused) {
+  for (Member* member : paused)
     member->paused = true;
-    Command(*member, CommandKind::kPause, [this](bool) {
-      if (--m_awaited == 0)
-        Paused();
-    });
-  }
+  CommandAll(paused, CommandKind::kPause, [this] { Paused(); });
 }
 
 void PrimaryChange::Paused() {
+  LogStatuses("paused");
   for (const auto& [id, member] : m_members) {
     if (member.paused && !member.status) {
-      Resume();
-      return End(Result::kFailed, "a replica could not be paused");
+      return ResumeAndEnd(Result::kFailed, "a replica could not be paused");
     }
   }
   if (!MembersUnchanged()) {
-    Resume();
-    return End(Result::kFailed, "the group's instances have changed");
+    return ResumeAndEnd(Result::kFailed, "the group's instances have changed");
   }
   if (m_kind == Kind::kPlanned) {
     m_wait_until = m_context.timers.now() + kCatchUpTime;
@@ -320,8 +415,7 @@
     if (answered && Find(m_candidate)->status->received >= NewestReceived())
       return Promote();
     if (!answered || m_context.timers.now() >= m_wait_until) {
-      Resume();
-      return End(Result::kFailed, "the new primary has not caught up");
+      return ResumeAndEnd(Result::kFailed, "the new primary has not caught up");
     }
     m_context.timers.After(
         kPollInterval, [self = shared_from_this()] { self->AwaitCandidate(); });
@@ -370,7 +464,7 @@
     // A newer holder is at work or the instance has stopped. An earlier call
     // that was not answered may still take effect, so nothing is resumed then.
     if (m_promote_calls == 1)
-      Resume();
+      return ResumeAndEnd(Result::kFailed, result.error().message);
     return End(Result::kFailed, result.error().message);
   }
   if (m_promote_calls < kPromoteCalls &&
@@ -386,8 +480,8 @@
     if (answered && status->role == ReplicationRole::kPrimary) {
       m_context.directory.MarkPromoted(m_options.group, m_candidate);
       m_context.watch.Forget(m_candidate);
-      Release();
-      return End(Result::kPromoted, "");
+      // Replicas that the promotion has not resumed would stay behind.
+      return ResumeAndEnd(Result::kPromoted, "");
     }
     if (m_context.timers.now() >= m_wait_until) {
       Release();
@@ -408,18 +502,27 @@
       });
 }
 
-void PrimaryChange::Resume() {
-  if (m_context.timers.now() >= m_claimed_at + kResumeTime)
-    return Log("not_resumed", {});
+void PrimaryChange::ResumeAndEnd(Result result, const std::string& why) {
+  if (m_context.timers.now() >= m_claimed_at + kResumeTime) {
+    Log("not_resumed", {});
+    Release();
+    return End(result, why);
+  }
+  std::vector<Member*> paused;
   for (auto& [id, member] : m_members) {
     if (member.paused)
-      Command(member, CommandKind::kResume, [](bool) {});
+      paused.push_back(&member);
   }
-  Release();
+  CommandAll(paused, CommandKind::kResume,
+             [self = shared_from_this(), result, why] {
+               self->Release();
+               self->End(result, why);
+             });
 }
 
 void PrimaryChange::End(Result result, const std::string& why) {
   Log(result == Result::kPromoted ? "promoted" : "ended", {{"why", why}});
+  ReturnConnections();
   if (const OnEnd on_end = std::exchange(m_on_end, nullptr))
     on_end(result);
 }
--- a/libraries/gateway/primary_change.h
+++ b/libraries/gateway/primary_change.h
@@ -74,6 +74,8 @@
   struct Member {
     BackendServer server;
     std::unique_ptr<BackendSession> session;
+    // Used instead of `session` when the instance accepts no new connection.
+    BackendPool::ConnectionPtr pooled;
     std::optional<ReplicationStatus> status;
     bool paused = false;
   };
@@ -91,13 +93,29 @@
   void Command(Member& member,
                BackendCommand::Kind kind,
                std::function<void(bool answered)> then);
+  // Takes a connection of the pool for a member that accepts no new one.
+  void BorrowConnection(Member& member);
+  void ReturnConnections();
+  // Sends a command to all members that are connected; `then` runs when each
+  // has answered or failed.
+  void CommandAll(const std::vector<Member*>& members,
+                  BackendCommand::Kind kind,
+                  std::function<void()> then);
+  std::vector<Member*> Connected();
+  // Returns the member that leads in the newest term, or null.
+  const Member* Leader() const;
+  // Ends the change when another instance leads by now.
+  bool LeaderHasChanged();
   void Probed();
+  // What was learned before the claim may date from before another change.
+  void ProbedAgain();
   void ReadClaim();
   void ClaimRead(jackdawturn::Result<StoredRecord> record);
   void WriteClaim(uint64_t expected);
   void ClaimWritten(jackdawturn::Result<StoredRecord> record);
   void ReadBackClaim();
   void Claimed(uint64_t revision);
+  void LogStatuses(const std::string& step) const;
   void PauseReplicas();
   void Paused();
   void AwaitCandidate();
@@ -106,7 +124,7 @@
   void PromoteAnswered(jackdawturn::Result<void> result);
   void AwaitLead();
   void Release();
-  void Resume();
+  void ResumeAndEnd(Result result, const std::string& why);
   void End(Result result, const std::string& why);
   void Log(const std::string& step, GatewayLog::Fields fields) const;
   std::vector<MemberStatus> Replicas() const;
@@ -123,7 +141,6 @@
   Kind m_kind;
   std::map<InstanceName, Member> m_members;
   size_t m_awaited = 0;
-  bool m_claimed = false;
   uint64_t m_token = 0;
   uint64_t m_pause_term = 0;
   InstanceName m_candidate;
--- a/libraries/gateway/primary_watch.cc
+++ b/libraries/gateway/primary_watch.cc
@@ -27,6 +27,13 @@
 
 void PrimaryWatch::Answered(const InstanceName& id, bool write, TimePoint now) {
   Evidence& evidence = m_evidence[id];
+  // Writes that went unanswered while the instance was out of reach say nothing
+  // of its replicas.
+  const bool was_out_of_reach =
+      evidence.refused_since ||
+      (evidence.all.since && *evidence.all.since + kSilentTime <= now);
+  if (was_out_of_reach && evidence.writes.since)
+    evidence.writes.since = now;
   evidence.refused_since.reset();
   for (Unanswered* kind : {&evidence.all, &evidence.writes}) {
     if (kind == &evidence.writes && !write)
@@ -70,6 +77,14 @@
   m_evidence.erase(id);
 }
 
+bool PrimaryWatch::WritesBlocked(const InstanceName& id, TimePoint now) const {
+  const auto found = m_evidence.find(id);
+  if (found == m_evidence.end())
+    return false;
+  const Unanswered& writes = found->second.writes;
+  return writes.count > 0 && writes.since && *writes.since + kSilentTime <= now;
+}
+
 std::optional<SuspicionReason> PrimaryWatch::Check(const InstanceName& id,
                                                    TimePoint now) const {
   const auto found = m_evidence.find(id);
--- a/libraries/gateway/primary_watch.h
+++ b/libraries/gateway/primary_watch.h
@@ -42,6 +42,10 @@
   void Opened(const InstanceName& id);
   void Forget(const InstanceName& id);
 
+  // Writes get no answer, and one is in progress whose answer would show that
+  // this has ended.
+  bool WritesBlocked(const InstanceName& id, TimePoint now) const;
+
   std::optional<SuspicionReason> Check(const InstanceName& id,
                                        TimePoint now) const;
 
--- a/libraries/gateway/statement_run.cc
+++ b/libraries/gateway/statement_run.cc
@@ -85,6 +85,7 @@
   if (!m_input.connection)
     return Place();
   m_connection = std::move(m_input.connection);
+  m_instance_state = TransactionState::kOpen;
   m_target = m_connection->server.id;
   SendStatement();
 }
@@ -121,6 +122,11 @@
   const BackendServer* primary = m_context.directory.Primary(group);
   if (!primary || m_context.pool.Unreachable(primary->id))
     return nullptr;
+  // One write at a time shows whether a primary without replicas has recovered;
+  // the others stay free to be refused as not run.
+  if ((writes() || is_commit()) &&
+      m_context.watch.WritesBlocked(primary->id, m_context.timers.now()))
+    return nullptr;
   return primary;
 }
 
@@ -161,8 +167,9 @@
 void StatementRun::Acquired(Result<BackendPool::ConnectionPtr> connection) {
   if (connection) {
     m_connection = std::move(connection.value());
+    m_instance_state = TransactionState::kNone;
     if (!m_on_done)
-      return m_context.pool.Release(std::move(m_connection));
+      return GiveBack();
     const BackendServer* primary =
         m_context.directory.Primary(m_input.route.group);
     const bool leads = primary && primary->id == m_target;
@@ -170,7 +177,7 @@
     // The instance may have become primary, or stopped being it, while the
     // statement waited.
     if (!leads && !m_required) {
-      m_context.pool.Release(std::move(m_connection));
+      GiveBack();
       return PlaceAgain(Duration(0));
     }
     if (in_transaction() || m_wrapped)
@@ -222,7 +229,7 @@
       m_required.reset();
       return SendStatement();
     }
-    m_context.pool.Release(std::move(m_connection));
+    GiveBack();
     if (!TryAgain(begun))
       Finish(ErrorReply(begun.code, begun.message));
   });
@@ -291,8 +298,9 @@
   if (!replies)
     return Broken(replies.error().message);
   m_context.watch.Answered(m_target, changes_data(), m_context.timers.now());
+  m_instance_state = replies.value().back().state;
   if (!m_on_done)
-    return RollBack();
+    return GiveBack();
   use(std::move(replies.value()));
 }
 
@@ -384,12 +392,12 @@
   if (in_transaction() && reply.code != ReplyCode::kDone) {
     // The first statement can still move to another instance.
     const bool first = m_attempts > 0 && !is_commit();
-    RollBack();
+    GiveBack();
     if (first && TryAgain(reply))
       return;
     return Finish(std::move(answer));
   }
-  m_context.pool.Release(std::move(m_connection));
+  GiveBack();
   if (reply.code != ReplyCode::kDone && TryAgain(reply))
     return;
   Finish(std::move(answer));
@@ -429,23 +437,10 @@
   Finish(ErrorReply(ReplyCode::kBusy, reason));
 }
 
-void StatementRun::RollBack() {
-  if (!m_connection)
-    return;
-  if (!in_transaction())
-    return m_context.pool.Release(std::move(m_connection));
-  if (!m_connection->session->is_open())
-    return m_context.pool.Discard(std::move(m_connection));
-  auto kept =
-      std::make_shared<BackendPool::ConnectionPtr>(std::move(m_connection));
-  auto& pool = m_context.pool;
-  (*kept)->session->Send({{.kind = CommandKind::kRollback}},
-                         [&pool, kept](const auto& replies) {
-                           if (replies)
-                             pool.Release(std::move(*kept));
-                           else
-                             pool.Discard(std::move(*kept));
-                         });
+void StatementRun::GiveBack() {
+  if (m_connection)
+    m_context.pool.RollBackAndRelease(std::move(m_connection),
+                                      m_instance_state);
 }
 
 void StatementRun::Finish(ClientReply reply) {
@@ -454,7 +449,7 @@
   m_context.timers.Cancel(m_silence_timer);
   const OnDone on_done = std::exchange(m_on_done, nullptr);
   if (!on_done)
-    return RollBack();
+    return GiveBack();
   on_done({std::move(reply), std::move(m_connection)});
 }
 
--- a/libraries/gateway/statement_run.h
+++ b/libraries/gateway/statement_run.h
@@ -90,8 +90,8 @@
   bool TryAgain(const BackendReply& reply);
   void NotePosition(const BackendReply& reply);
   void Refuse(const std::string& reason);
-  // Gives the connection back after a rollback.
-  void RollBack();
+  // Gives the connection back, after a rollback if it has a transaction.
+  void GiveBack();
   void Finish(ClientReply reply);
   void Log(const std::string& step, GatewayLog::Fields fields);
 
@@ -104,6 +104,8 @@
   // A statement that was not sent by then is refused.
   const TimePoint m_give_up;
   BackendPool::ConnectionPtr m_connection;
+  // What the instance last said of the connection.
+  TransactionState m_instance_state = TransactionState::kNone;
   // The position that the chosen replica must have.
   std::optional<CommitPosition> m_required;
   // The statement stands in a transaction of its own, so that the instance
--- a/programs/jackdawturn/main.cc
+++ b/programs/jackdawturn/main.cc
@@ -37,5 +37,7 @@
 int main(int argc, char** argv) {
   google::InitGoogleLogging(argv[0]);
   FLAGS_logtostderr = true;
+  // Writes a stack trace before the process ends by a fault.
+  google::InstallFailureSignalHandler();
   return jackdawturn::Main(argc, argv);
 }
