Tests: Guard sessions, placement, changes of primary and the wire of the platform

Cause: the gateway and the adapter had no tests of their own. Change: tables on a virtual clock for positions, placement, session state, the directory, the watch over primaries, statements and changes of primary with fake instances; tables for the lines and records of the platform.

--- a/Makefile
+++ b/Makefile
@@ -68,7 +68,7 @@
 # Checks each translation unit of the product once; one that passed before with
 # the same content is not checked again.
 lint: all
-	@ninja -C $(BUILD) -t inputs all | grep -E '^(libraries|programs)/.*\.o$$' | \
+	@ninja -C $(BUILD) -t inputs all | grep -E '^(libraries|platform|programs)/.*\.o$$' | \
 	  grep -v boost_sources | xargs -P $(JOBS) -n 1 .ci/lint-unit $(BUILD)
 
 clean:
--- /dev/null
+++ b/tests/gateway/decisions_test.cc
@@ -0,0 +1,233 @@
+#include <string>
+#include <vector>
+
+#include "gateway/gateway.h"
+
+#include "support/table_test.h"
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+
+const TimePoint kStart{std::chrono::hours(1)};
+
+BackendServer ServerOf(const std::string& id,
+                       ReplicationRole role,
+                       uint64_t revision) {
+  BackendServer server;
+  server.id = InstanceName(id);
+  server.group = GroupName("loans");
+  server.role = role;
+  server.revision = revision;
+  return server;
+}
+
+}  // namespace
+
+// A replica may only be asked for a position that covers the allowed age.
+Test(gateway_positions, oldest_position_that_covers_the_age) {
+  PositionHistory history;
+  history.Observe(kStart, {1, 10});
+  history.Observe(kStart + 100ms, {1, 12});
+  history.Observe(kStart + 200ms, {1, 15});
+  cr_expect_eq(history.Covering(kStart - 50ms)->number, 10U);
+  cr_expect_eq(history.Covering(kStart + 50ms)->number, 12U);
+  cr_expect_eq(history.Covering(kStart + 200ms)->number, 15U);
+  cr_expect(!history.Covering(kStart + 201ms));
+}
+
+// Positions of an old term may have been rolled back and are never reached.
+Test(gateway_positions, new_term_drops_positions_of_the_old_one) {
+  PositionHistory history;
+  history.Observe(kStart, {1, 99});
+  history.Observe(kStart + 100ms, {2, 50});
+  cr_expect_eq(history.Covering(kStart), (CommitPosition{2, 50}));
+}
+
+// Load patterns of reads, each with the instance that should serve the next.
+struct PlacementCase {
+  const char* pattern;
+  ReadCandidate first;
+  ReadCandidate second;
+  bool recently_written;
+  const char* chosen;
+};
+
+static const CommitPosition kRequired{1, 10};
+
+static const PlacementCase kPlacements[] = {
+    {"one slow replica: its requests pile up",
+     {.id = InstanceName("a"), .outstanding = 4},
+     {.id = InstanceName("b"), .outstanding = 1},
+     false,
+     "b"},
+    {"one silent replica",
+     {.id = InstanceName("a"), .unreachable = true},
+     {.id = InstanceName("b"), .outstanding = 3},
+     false,
+     "b"},
+    {"one replica far behind",
+     {.id = InstanceName("a"), .lagging = true},
+     {.id = InstanceName("b"), .outstanding = 3},
+     false,
+     "b"},
+    {"reads in a burst leave the primary to writes",
+     {.id = InstanceName("a"), .primary = true, .outstanding = 0},
+     {.id = InstanceName("b"), .outstanding = 1},
+     false,
+     "b"},
+    {"a long queue at the replica spills over to the primary",
+     {.id = InstanceName("a"), .primary = true, .outstanding = 0},
+     {.id = InstanceName("b"), .outstanding = 3},
+     false,
+     "a"},
+    {"equal load: the near one",
+     {.id = InstanceName("a")},
+     {.id = InstanceName("b"), .same_zone = true},
+     false,
+     "b"},
+    {"a session's own fresh commit",
+     {.id = InstanceName("a"), .primary = true, .outstanding = 3},
+     {.id = InstanceName("b")},
+     true,
+     "a"},
+    {"a session's own commit that the replica showed",
+     {.id = InstanceName("a"), .primary = true},
+     {.id = InstanceName("b"), .applied = CommitPosition{1, 10}},
+     true,
+     "b"},
+};
+
+TABLE_TEST(gateway_placement, reads_by_load_pattern, kPlacements) {
+  const PlacementCase& row = kPlacements[*row_index];
+  const auto chosen =
+      PlaceRead({row.first, row.second}, kRequired, row.recently_written, {});
+  cr_assert(chosen);
+  cr_assert_str_eq(chosen->value().c_str(), row.chosen, "%s", row.pattern);
+}
+
+// Session state that stays on a shared connection would reach another client.
+struct PrepareCase {
+  SessionState session;
+  ConnectionState connection;
+  std::vector<BackendCommand::Kind> commands;
+};
+
+static const PrepareCase kPrepares[] = {
+    {{}, {}, {}},
+    {{.values = {{"a", "1"}}}, {}, {BackendCommand::Kind::kSetValue}},
+    {{.values = {{"a", "1"}}}, {.values = {{"a", "1"}}}, {}},
+    {{.values = {{"a", "2"}}},
+     {.values = {{"a", "1"}}},
+     {BackendCommand::Kind::kSetValue}},
+    // Another client's value can only be cleared with all others.
+    {{.values = {{"a", "1"}}},
+     {.values = {{"a", "1"}, {"b", "1"}}},
+     {BackendCommand::Kind::kDiscard, BackendCommand::Kind::kSetValue}},
+    {{}, {.values = {{"b", "1"}}}, {BackendCommand::Kind::kDiscard}},
+};
+
+TABLE_TEST(gateway_session_state, connection_gets_the_session, kPrepares) {
+  const PrepareCase& row = kPrepares[*row_index];
+  ConnectionState connection = row.connection;
+  const auto commands = PrepareConnection(row.session, nullptr, connection);
+  cr_assert_eq(commands.size(), row.commands.size());
+  for (size_t index = 0; index < commands.size(); ++index)
+    cr_expect_eq(commands[index].kind, row.commands[index]);
+  cr_expect(connection.values == row.session.values);
+}
+
+// Two clients with the same name for different statements, and the other way.
+Test(gateway_session_state, prepared_statements_are_shared_by_shape) {
+  ConnectionState connection;
+  const PreparedStatement read{false, "q1"};
+  const PreparedStatement write{true, "q1"};
+  cr_expect_eq(PrepareConnection({}, &read, connection).size(), 1U);
+  cr_expect_eq(PrepareConnection({}, &read, connection).size(), 0U);
+  cr_expect_eq(PrepareConnection({}, &write, connection).size(), 1U);
+}
+
+// Entries that lapse while the store is away come back within about two
+// seconds; what is missing after that is gone, and what was leaving is gone at
+// once.
+Test(gateway_directory, lapsed_entries_are_kept_for_the_time_of_return) {
+  ServerDirectory directory;
+  BackendServer leaving = ServerOf("b", ReplicationRole::kReplica, 2);
+  leaving.draining = true;
+  directory.Update(ServerOf("a", ReplicationRole::kReplica, 1), kStart);
+  directory.Update(leaving, kStart);
+  directory.Remove(InstanceName("a"), kStart);
+  directory.Remove(InstanceName("b"), kStart);
+  cr_expect_null(directory.Find(InstanceName("b")));
+  cr_expect(directory.Expire(kStart + 2s).empty());
+  cr_expect_not_null(directory.Find(InstanceName("a")));
+  cr_expect_eq(directory.Expire(kStart + 3s).size(), 1U);
+  cr_expect_null(directory.Find(InstanceName("a")));
+}
+
+// An old primary that cannot reach the store still claims its role there.
+Test(gateway_directory, newest_claim_of_the_role_leads) {
+  ServerDirectory directory;
+  directory.Update(ServerOf("a", ReplicationRole::kPrimary, 1), kStart);
+  directory.Update(ServerOf("b", ReplicationRole::kReplica, 2), kStart);
+  directory.Update(ServerOf("b", ReplicationRole::kPrimary, 3), kStart);
+  // Another member of the old primary's entry changes.
+  directory.Update(ServerOf("a", ReplicationRole::kPrimary, 4), kStart);
+  cr_expect_str_eq(directory.Primary(GroupName("loans"))->id.value().c_str(),
+                   "b");
+}
+
+// Each way in which a primary fails, seen from the requests of one proxy.
+struct WatchCase {
+  const char* pattern;
+  std::function<void(PrimaryWatch&, const InstanceName&)> events;
+  std::optional<SuspicionReason> after_one_second;
+};
+
+static const WatchCase kWatches[] = {
+    {"answers",
+     [](PrimaryWatch& watch, const InstanceName& id) {
+       watch.Sent(id, true, kStart);
+       watch.Answered(id, true, kStart + 5ms);
+     },
+     std::nullopt},
+    {"falls silent",
+     [](PrimaryWatch& watch, const InstanceName& id) {
+       watch.Sent(id, false, kStart);
+     },
+     SuspicionReason::kSilent},
+    {"refuses connections",
+     [](PrimaryWatch& watch, const InstanceName& id) {
+       watch.Refused(id, kStart);
+     },
+     SuspicionReason::kRefused},
+    {"answers reads, but no write",
+     [](PrimaryWatch& watch, const InstanceName& id) {
+       watch.Sent(id, true, kStart);
+       for (Duration time = 0ms; time < 1s; time += 100ms) {
+         watch.Sent(id, false, kStart + time);
+         watch.Answered(id, false, kStart + time + 5ms);
+       }
+     },
+     SuspicionReason::kStalled},
+    {"was cut off with a write in progress, and answers again",
+     [](PrimaryWatch& watch, const InstanceName& id) {
+       watch.Sent(id, true, kStart);
+       watch.Sent(id, false, kStart + 800ms);
+       watch.Answered(id, false, kStart + 805ms);
+     },
+     std::nullopt},
+};
+
+TABLE_TEST(gateway_watch, failures_of_a_primary, kWatches) {
+  const WatchCase& row = kWatches[*row_index];
+  PrimaryWatch watch;
+  const InstanceName id("p");
+  row.events(watch, id);
+  cr_assert(watch.Check(id, kStart + 1s) == row.after_one_second, "%s",
+            row.pattern);
+}
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/tests/gateway/fake_group.h
@@ -0,0 +1,351 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gateway/gateway.h"
+
+#include "gateway/virtual_timers.h"
+
+namespace jackdawturn::gateway {
+
+// One group of instances behind the ports of the gateway, with the platform's
+// store and its promotions, on a virtual clock.
+class FakeGroup {
+ public:
+  static constexpr Duration kAnswerTime = std::chrono::milliseconds(1);
+
+  struct Instance {
+    BackendServer server;
+    ReplicationRole role = ReplicationRole::kReplica;
+    uint64_t term = 1;
+    CommitPosition received;
+    uint64_t paused_term = 0;
+    // Answers nothing, and connections to it get no answer.
+    bool silent = false;
+    // Refuses new connections as too many.
+    bool full = false;
+    // Closes the connection instead of answering a statement of this kind.
+    std::optional<BackendCommand::Kind> breaks_on;
+    // Statements of clients that ran, each with the client's id and whether a
+    // transaction was open on the connection.
+    std::vector<std::pair<std::string, bool>> ran;
+    size_t open_transactions = 0;
+  };
+
+  explicit FakeGroup(VirtualTimers& timers) : m_timers(timers) {}
+
+  Instance& Add(const std::string& id, ReplicationRole role, uint64_t number) {
+    Instance& instance = m_instances[InstanceName(id)];
+    instance.server.id = InstanceName(id);
+    instance.server.group = GroupName("loans");
+    instance.server.role = role;
+    instance.server.revision = 1;
+    instance.role = role;
+    instance.received = {1, number};
+    return instance;
+  }
+
+  Instance& At(const std::string& id) {
+    return m_instances.at(InstanceName(id));
+  }
+
+  OpenBackendSession Opener();
+  PromoteInstance Promoter();
+
+  // Every order to promote, with its token.
+  std::vector<std::pair<InstanceName, uint64_t>> promotions;
+  // Runs before an order to promote takes effect.
+  std::function<void()> before_promotion;
+
+ private:
+  class Session;
+
+  BackendReply Answer(Instance& instance,
+                      bool& in_transaction,
+                      const BackendCommand& command);
+
+  VirtualTimers& m_timers;
+  std::map<InstanceName, Instance> m_instances;
+};
+
+// A connection to an instance of a FakeGroup.
+class FakeGroup::Session : public BackendSession {
+ public:
+  Session(FakeGroup& group, Instance& instance)
+      : m_group(group),
+        m_instance(instance),
+        m_alive(std::make_shared<bool>(true)) {}
+  ~Session() override { Close(); }
+
+  void Send(std::vector<BackendCommand> commands,
+            OnReplies on_replies) override {
+    m_group.m_timers.After(
+        kAnswerTime, [this, alive = m_alive, commands = std::move(commands),
+                      on_replies = std::move(on_replies)] {
+          if (*alive)
+            Run(commands, on_replies);
+        });
+  }
+  bool is_open() const override { return *m_alive; }
+  void Close() override {
+    *m_alive = false;
+    EndTransaction();
+  }
+
+ private:
+  void Run(const std::vector<BackendCommand>& commands,
+           const OnReplies& on_replies) {
+    if (m_instance.silent)
+      return;
+    std::vector<BackendReply> replies;
+    for (const BackendCommand& command : commands) {
+      if (m_instance.breaks_on == command.kind) {
+        Close();
+        const Error error{ErrorCode::kTimeout, "fake", "", "reset"};
+        return on_replies(error);
+      }
+      const bool before = m_in_transaction;
+      replies.push_back(m_group.Answer(m_instance, m_in_transaction, command));
+      if (!before && m_in_transaction)
+        ++m_instance.open_transactions;
+      if (before && !m_in_transaction)
+        --m_instance.open_transactions;
+    }
+    const auto alive = m_alive;
+    on_replies(std::move(replies));
+  }
+
+  void EndTransaction() {
+    if (std::exchange(m_in_transaction, false))
+      --m_instance.open_transactions;
+  }
+
+  FakeGroup& m_group;
+  Instance& m_instance;
+  std::shared_ptr<bool> m_alive;
+  bool m_in_transaction = false;
+};
+
+inline BackendReply FakeGroup::Answer(Instance& instance,
+                                      bool& in_transaction,
+                                      const BackendCommand& command) {
+  using Kind = BackendCommand::Kind;
+  BackendReply reply;
+  reply.code = ReplyCode::kDone;
+  const bool leads = instance.role == ReplicationRole::kPrimary;
+  if (command.after && instance.received < *command.after) {
+    reply.code = ReplyCode::kLagging;
+  } else if (command.kind == Kind::kBegin) {
+    reply.code = leads ? ReplyCode::kDone : ReplyCode::kReadOnly;
+    in_transaction = leads;
+  } else if (command.kind == Kind::kBeginRead) {
+    in_transaction = true;
+  } else if (command.kind == Kind::kRollback) {
+    in_transaction = false;
+  } else if (command.kind == Kind::kPause) {
+    instance.paused_term = command.term;
+  } else if (command.kind == Kind::kResume) {
+    instance.paused_term = 0;
+  } else if (command.kind == Kind::kForward || command.kind == Kind::kExecute) {
+    const bool write = command.text.starts_with("WRITE");
+    if (write && !leads) {
+      reply.code = ReplyCode::kReadOnly;
+    } else {
+      instance.ran.emplace_back(command.id.value(), in_transaction);
+      if (write)
+        ++instance.received.number;
+      if (command.text == "COMMIT")
+        in_transaction = false;
+      reply.signature = instance.server.id.value();
+    }
+  }
+  reply.state =
+      in_transaction ? TransactionState::kOpen : TransactionState::kNone;
+  reply.position = instance.received;
+  // Read back by FakeStatus.
+  reply.rows = {leads ? "primary" : "replica", std::to_string(instance.term),
+                std::to_string(instance.received.term),
+                std::to_string(instance.received.number),
+                std::to_string(instance.paused_term)};
+  return reply;
+}
+
+inline Result<ReplicationStatus> FakeStatus(const BackendReply& reply) {
+  ReplicationStatus status;
+  status.role = reply.rows[0] == "primary" ? ReplicationRole::kPrimary
+                                           : ReplicationRole::kReplica;
+  status.term = std::stoull(reply.rows[1]);
+  status.received = {std::stoull(reply.rows[2]), std::stoull(reply.rows[3])};
+  status.paused_term = std::stoull(reply.rows[4]);
+  return status;
+}
+
+inline OpenBackendSession FakeGroup::Opener() {
+  return [this](const BackendServer& server, Duration timeout, auto on_open) {
+    Instance& instance = m_instances.at(server.id);
+    m_timers.After(instance.silent ? timeout : kAnswerTime,
+                   [this, &instance, on_open = std::move(on_open)] {
+                     if (instance.silent) {
+                       const Error error{ErrorCode::kTimeout, "fake", "", ""};
+                       return on_open(error);
+                     }
+                     if (instance.full) {
+                       const Error error{ErrorCode::kExhausted, "fake", "", ""};
+                       return on_open(error);
+                     }
+                     on_open(std::unique_ptr<BackendSession>(
+                         std::make_unique<Session>(*this, instance)));
+                   });
+  };
+}
+
+inline PromoteInstance FakeGroup::Promoter() {
+  return [this](const GroupName&, const InstanceName& id, uint64_t token,
+                Duration, std::function<void(Result<void>)> on_result) {
+    promotions.emplace_back(id, token);
+    if (before_promotion)
+      before_promotion();
+    Instance& chosen = m_instances.at(id);
+    // The platform changes nothing for an instance that leads already.
+    if (chosen.role != ReplicationRole::kPrimary) {
+      for (auto& [name, instance] : m_instances) {
+        instance.role = ReplicationRole::kReplica;
+        instance.paused_term = 0;
+        instance.term = chosen.term + 1;
+      }
+      chosen.role = ReplicationRole::kPrimary;
+    }
+    m_timers.After(kAnswerTime, [on_result = std::move(on_result)] {
+      on_result(Success());
+    });
+  };
+}
+
+// A store of records that only PrimaryChange uses.
+class FakeStore : public MetadataStore {
+ public:
+  explicit FakeStore(VirtualTimers& timers) : m_timers(timers) {}
+
+  void List(RecordCollection,
+            Duration,
+            std::function<void(Result<RecordList>)>) override {}
+  void Watch(RecordCollection,
+             uint64_t,
+             Duration,
+             std::function<void(Result<RecordChanges>)>) override {}
+
+  void Read(RecordCollection,
+            const std::string& name,
+            Duration,
+            OnRecord on_record) override {
+    const auto found = m_records.find(name);
+    Answer(std::move(on_record),
+           found == m_records.end() ? Result<StoredRecord>(Error{
+                                          ErrorCode::kNotFound, "fake", "", ""})
+                                    : Result<StoredRecord>(found->second));
+  }
+
+  void Update(RecordCollection,
+              const std::string& name,
+              uint64_t expected,
+              const std::string& body,
+              Duration,
+              OnRecord on_record) override {
+    const auto found = m_records.find(name);
+    const uint64_t present =
+        found == m_records.end() ? 0 : found->second.revision;
+    if (present != expected)
+      return Answer(std::move(on_record),
+                    Error{ErrorCode::kConflict, "fake", "", ""});
+    StoredRecord& record = m_records[name];
+    record = {name, ++m_revision, body};
+    if (lose_next_answer) {
+      lose_next_answer = false;
+      return Answer(std::move(on_record),
+                    Error{ErrorCode::kTimeout, "fake", "", ""});
+    }
+    Answer(std::move(on_record), record);
+  }
+
+  // The next update takes effect without an answer.
+  bool lose_next_answer = false;
+
+ private:
+  void Answer(OnRecord on_record, Result<StoredRecord> result) {
+    m_timers.After(FakeGroup::kAnswerTime,
+                   [on_record = std::move(on_record),
+                    result = std::move(result)] { on_record(result); });
+  }
+
+  VirtualTimers& m_timers;
+  std::map<std::string, StoredRecord> m_records;
+  uint64_t m_revision = 0;
+};
+
+// One proxy in front of a FakeGroup with a primary "p" and replicas "a", "b".
+struct GatewayRig {
+  GatewayRig() {
+    group.Add("p", ReplicationRole::kPrimary, 10);
+    group.Add("a", ReplicationRole::kReplica, 10);
+    group.Add("b", ReplicationRole::kReplica, 9);
+    auto deployment = std::make_shared<Deployment>();
+    deployment->version = 1;
+    for (const auto& [name, freshness] :
+         {std::pair("strict", ReadFreshness::kPrimary),
+          std::pair("aged", ReadFreshness::kBoundedStaleness),
+          std::pair("own", ReadFreshness::kReadYourWrites)}) {
+      deployment->routes[name] = {
+          .database = name,
+          .group = GroupName("loans"),
+          .freshness = freshness,
+          .max_staleness = std::chrono::seconds(2),
+          .statement_timeout = std::chrono::milliseconds(800),
+          .target_latency = std::chrono::milliseconds(100)};
+    }
+    context.deployment = deployment;
+    for (const char* id : {"p", "a", "b"})
+      directory.Update(group.At(id).server, timers.now());
+  }
+
+  std::shared_ptr<ClientSession> Open(const std::string& database) {
+    return ClientSession::Create(
+        context, database,
+        [this](const ClientReply& reply) { replies.push_back(reply); });
+  }
+
+  // The position that the primary showed at this moment.
+  void ObservePrimary() {
+    context.positions[GroupName("loans")].Observe(timers.now(),
+                                                  group.At("p").received);
+  }
+
+  VirtualTimers timers;
+  FakeGroup group{timers};
+  FakeStore store{timers};
+  MetricRegistry metrics;
+  GatewayLog log{nullptr, metrics, VmName("vm")};
+  ServerDirectory directory;
+  BackendPool pool{timers, group.Opener(), {}};
+  GatewayContext context{.timers = timers,
+                         .pool = pool,
+                         .directory = directory,
+                         .log = log,
+                         .zone = ZoneName("z")};
+  std::vector<ClientReply> replies;
+};
+
+inline ClientStatement StatementOf(ClientStatement::Kind kind,
+                                   const std::string& text) {
+  ClientStatement statement;
+  statement.id = RequestId("id-" + text);
+  statement.kind = kind;
+  statement.text = text;
+  return statement;
+}
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/tests/gateway/primary_change_test.cc
@@ -0,0 +1,170 @@
+#include <string>
+
+#include "gateway/fake_group.h"
+
+#include "support/table_test.h"
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+using Kind = PrimaryChange::Kind;
+
+// Changes of the primary "p", each with a proxy's view of its own.
+struct ChangeRig : GatewayRig {
+  std::shared_ptr<PrimaryChange> Begin(Kind kind, const std::string& holder) {
+    return PrimaryChange::Create(
+        context, {store, group.Promoter(), group.Opener(), FakeStatus},
+        {.group = GroupName("loans"),
+         .kind = kind,
+         .reason = "silent",
+         .old_primary = InstanceName("p"),
+         .holder = VmName(holder),
+         .attempt = holder},
+        [this](PrimaryChange::Result result) { results.push_back(result); });
+  }
+
+  std::vector<PrimaryChange::Result> results;
+};
+
+}  // namespace
+
+// The instance that has received most is the only one that surely has every
+// acknowledged commit.
+struct ChoiceCase {
+  uint64_t received_a;
+  uint64_t received_b;
+  bool a_drains;
+  const char* promoted;
+};
+
+static const ChoiceCase kChoices[] = {
+    {12, 11, false, "a"},
+    {11, 12, false, "b"},
+    {12, 11, true, "a"},
+    // Of two with the same log, the one that stays.
+    {12, 12, true, "b"},
+};
+
+TABLE_TEST(gateway_primary_change, promotes_the_newest_log, kChoices) {
+  const ChoiceCase& row = kChoices[*row_index];
+  ChangeRig rig;
+  rig.group.At("p").silent = true;
+  rig.group.At("a").received.number = row.received_a;
+  rig.group.At("b").received.number = row.received_b;
+  rig.group.At("a").server.draining = row.a_drains;
+  rig.directory.Update(rig.group.At("a").server, rig.timers.now());
+  const auto change = rig.Begin(Kind::kFailure, "one");
+  change->Start();
+  rig.timers.Advance(2s);
+  cr_assert_eq(rig.results.size(), 1U);
+  cr_assert_eq(rig.results.front(), PrimaryChange::Result::kPromoted);
+  cr_assert_eq(rig.group.promotions.size(), 1U);
+  cr_assert_str_eq(rig.group.promotions.front().first.value().c_str(),
+                   row.promoted);
+}
+
+// A commit that only the missing replica has received would be lost.
+Test(gateway_primary_change, waits_for_a_replica_that_does_not_answer) {
+  ChangeRig rig;
+  rig.group.At("p").silent = true;
+  rig.group.At("b").silent = true;
+  const auto change = rig.Begin(Kind::kFailure, "one");
+  change->Start();
+  rig.timers.Advance(2s);
+  cr_assert_eq(rig.results.front(), PrimaryChange::Result::kNotPossible);
+  cr_assert(rig.group.promotions.empty());
+  cr_assert_eq(rig.group.At("a").paused_term, 0U);
+}
+
+// The old primary must get no commit acknowledged while its successor is named.
+Test(gateway_primary_change, no_replica_receives_when_one_is_promoted) {
+  ChangeRig rig;
+  rig.group.At("p").silent = true;
+  bool all_paused = false;
+  rig.group.before_promotion = [&] {
+    all_paused =
+        rig.group.At("a").paused_term > 0 && rig.group.At("b").paused_term > 0;
+  };
+  const auto change = rig.Begin(Kind::kFailure, "one");
+  change->Start();
+  rig.timers.Advance(2s);
+  cr_assert(all_paused);
+}
+
+// In a planned change the old primary serves until the moment of the change, so
+// its successor must go on receiving and all others must not.
+Test(gateway_primary_change, planned_change_pauses_all_but_the_successor) {
+  ChangeRig rig;
+  std::vector<bool> paused;
+  rig.group.before_promotion = [&] {
+    paused = {rig.group.At("a").paused_term > 0,
+              rig.group.At("b").paused_term > 0};
+  };
+  const auto change = rig.Begin(Kind::kPlanned, "one");
+  change->Start();
+  rig.timers.Advance(2s);
+  cr_assert_eq(rig.results.front(), PrimaryChange::Result::kPromoted);
+  cr_assert_eq(paused.size(), 2U);
+  cr_assert(!paused[0] && paused[1]);
+}
+
+// Two proxies that suspect the primary at any distance in time: one change, and
+// no replica stays paused (seen as LOST on users' days: the second proxy had
+// asked before the first change and claimed after it).
+Test(gateway_primary_change, second_proxy_finds_the_new_primary) {
+  for (Duration distance = 0ms; distance < 600ms; distance += 5ms) {
+    ChangeRig rig;
+    rig.group.At("p").silent = true;
+    const auto first = rig.Begin(Kind::kFailure, "one");
+    const auto second = rig.Begin(Kind::kFailure, "two");
+    first->Start();
+    rig.timers.Advance(distance);
+    second->Start();
+    rig.timers.Advance(3s);
+    cr_expect_eq(rig.results.size(), 2U);
+    cr_expect_eq(rig.group.promotions.size(), 1U);
+    cr_expect_eq(rig.group.At("a").paused_term, 0U);
+    cr_expect_eq(rig.group.At("b").paused_term, 0U);
+  }
+}
+
+// A lost answer to the claim is not a failure; the claim is read back.
+Test(gateway_primary_change, claim_with_a_lost_answer_is_recognised) {
+  ChangeRig rig;
+  rig.group.At("p").silent = true;
+  rig.store.lose_next_answer = true;
+  const auto change = rig.Begin(Kind::kFailure, "one");
+  change->Start();
+  rig.timers.Advance(2s);
+  cr_assert_eq(rig.results.front(), PrimaryChange::Result::kPromoted);
+}
+
+// An instance at its limit of connections must not block the change when this
+// proxy holds a connection to it (seen as processes that ended by a fault).
+Test(gateway_primary_change, full_replica_lends_a_pooled_connection) {
+  ChangeRig rig;
+  rig.ObservePrimary();
+  const auto session = rig.Open("aged");
+  session->Handle(StatementOf(ClientStatement::Kind::kRead, "READ 1"));
+  rig.timers.Advance(20ms);
+  rig.group.At("p").silent = true;
+  rig.group.At("a").full = true;
+  const auto change = rig.Begin(Kind::kFailure, "one");
+  change->Start();
+  rig.timers.Advance(2s);
+  cr_assert_eq(rig.results.front(), PrimaryChange::Result::kPromoted);
+}
+
+// A primary that answers is left alone.
+Test(gateway_primary_change, answering_primary_is_a_false_alarm) {
+  ChangeRig rig;
+  const auto change = rig.Begin(Kind::kFailure, "one");
+  change->Start();
+  rig.timers.Advance(2s);
+  cr_assert_eq(rig.results.front(), PrimaryChange::Result::kFalseAlarm);
+  cr_assert(rig.group.promotions.empty());
+}
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/tests/gateway/virtual_timers.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <map>
+#include <utility>
+
+#include "gateway/gateway.h"
+
+namespace jackdawturn::gateway {
+
+// Timers on a virtual clock.
+class VirtualTimers : public Timers {
+ public:
+  TimePoint now() const override { return m_now; }
+
+  TimerId After(Duration delay, std::function<void()> action) override {
+    const TimerId id = m_next++;
+    m_actions.emplace(std::make_pair(m_now + delay, id), std::move(action));
+    return id;
+  }
+
+  void Cancel(TimerId timer) override {
+    std::erase_if(m_actions, [timer](const auto& entry) {
+      return entry.first.second == timer;
+    });
+  }
+
+  // Runs everything that is due within `time`.
+  void Advance(Duration time) {
+    const TimePoint end = m_now + time;
+    while (!m_actions.empty() && m_actions.begin()->first.first <= end) {
+      const auto first = m_actions.begin();
+      m_now = first->first.first;
+      const auto action = std::move(first->second);
+      m_actions.erase(first);
+      action();
+    }
+    m_now = end;
+  }
+
+ private:
+  // Far from zero, so that ages can be subtracted.
+  TimePoint m_now{std::chrono::hours(1)};
+  TimerId m_next = 1;
+  std::map<std::pair<TimePoint, TimerId>, std::function<void()>> m_actions;
+};
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/tests/platform/codecs_test.cc
@@ -0,0 +1,145 @@
+#include <string>
+
+#include "platform/platform.h"
+
+#include "support/table_test.h"
+
+namespace jackdawturn::gateway::platform {
+
+namespace {
+
+using Kind = ClientStatement::Kind;
+
+}  // namespace
+
+struct LineCase {
+  const char* line;
+  Kind kind;
+  const char* name;
+  const char* argument;
+};
+
+// The last field of a line extends to its end, blanks included.
+static const LineCase kLines[] = {
+    {"QUERY 1 BEGIN", Kind::kBegin, "", ""},
+    {"QUERY 1 BEGIN READ", Kind::kBeginRead, "", ""},
+    {"QUERY 1 BEGIN WRITE", Kind::kMalformed, "", ""},
+    {"QUERY 1 COMMIT", Kind::kCommit, "", ""},
+    {"QUERY 1 READ 1a4", Kind::kRead, "", ""},
+    {"QUERY 1 WRITE 1a4 x y", Kind::kWrite, "", ""},
+    {"QUERY 1 SET v a b", Kind::kSetValue, "v", "a b"},
+    {"QUERY 1 PARSE s1 WRITE q2c", Kind::kPrepare, "s1", "q2c"},
+    {"QUERY 1 PARSE s1 DROP q2c", Kind::kMalformed, "s1", "q2c"},
+    {"QUERY 1 EXECUTE s1 1a4 x y", Kind::kExecute, "s1", "1a4 x y"},
+    {"QUERY 1 CLOSE s1", Kind::kClosePrepared, "s1", ""},
+    // What only the proxy may say is no statement of a client.
+    {"QUERY 1 STATUS", Kind::kMalformed, "", ""},
+    {"QUERY 1 PAUSE 9", Kind::kMalformed, "", ""},
+    {"QUERY 1 AFTER 1.2 READ 1", Kind::kMalformed, "", ""},
+    {"QUERY 1 ", Kind::kMalformed, "", ""},
+};
+
+TABLE_TEST(platform_lines, statements_of_clients, kLines) {
+  const LineCase& row = kLines[*row_index];
+  const auto message = DecodeClientLine(row.line);
+  cr_assert(message.has_value());
+  const auto* statement = std::get_if<ClientStatement>(&message.value());
+  cr_assert_not_null(statement);
+  cr_expect_eq(statement->kind, row.kind);
+  cr_expect_str_eq(statement->name.c_str(), row.name);
+  cr_expect_str_eq(statement->argument.c_str(), row.argument);
+  cr_expect_eq("QUERY 1 " + statement->text, std::string(row.line));
+}
+
+static const char* const kBadLines[] = {"", " ", "STARTUP", "QUERY", "HELLO x"};
+
+TABLE_TEST(platform_lines, other_lines_are_refused, kBadLines) {
+  cr_assert(!DecodeClientLine(kBadLines[*row_index]).has_value());
+}
+
+struct CommandCase {
+  BackendCommand command;
+  const char* line;
+};
+
+static const CommandCase kCommands[] = {
+    {{.kind = BackendCommand::Kind::kForward,
+      .id = RequestId("5c"),
+      .text = "READ 1a4",
+      .after = CommitPosition{3, 1207}},
+     "QUERY 5c AFTER 3.1207 READ 1a4\r\n"},
+    {{.kind = BackendCommand::Kind::kExecute,
+      .id = RequestId("5c"),
+      .name = "wq2c",
+      .argument = "1a4 x"},
+     "QUERY 5c EXECUTE wq2c 1a4 x\r\n"},
+    {{.kind = BackendCommand::Kind::kPrepare,
+      .name = "wq2c",
+      .argument = "q2c",
+      .writes = true},
+     "QUERY - PARSE wq2c WRITE q2c\r\n"},
+    {{.kind = BackendCommand::Kind::kBeginRead, .after = CommitPosition{1, 2}},
+     "QUERY - AFTER 1.2 BEGIN READ\r\n"},
+    {{.kind = BackendCommand::Kind::kPause, .term = 4}, "QUERY - PAUSE 4\r\n"},
+};
+
+TABLE_TEST(platform_lines, commands_to_instances, kCommands) {
+  const CommandCase& row = kCommands[*row_index];
+  const std::string line = EncodeCommand(row.command);
+  cr_assert_str_eq(line.c_str(), row.line);
+}
+
+Test(platform_lines, status_row) {
+  BackendReply reply;
+  reply.rows = {"DATAROW replica 3 3.1209 5 12 2 17"};
+  const auto status = DecodeStatusRow(reply);
+  cr_assert(status.has_value());
+  cr_expect_eq(status.value().role, ReplicationRole::kReplica);
+  cr_expect_eq(status.value().term, 3U);
+  cr_expect_eq(status.value().received, (CommitPosition{3, 1209}));
+  cr_expect_eq(status.value().paused_term, 5U);
+}
+
+// An entry of another writer names no instance to use.
+static const char* const kBadServers[] = {
+    "",
+    "7",
+    "{}",
+    R"({"Service":1,"Addr":"1.2.3.4:5"})",
+    R"({"Service":"s","Addr":"1.2.3.4:5","Zone":"z","State":"new","DbRole":"replica"})",
+    R"({"Service":"s","Addr":"1.2.3.4:5","Zone":"z","State":"ready","DbRole":"king"})",
+};
+
+TABLE_TEST(platform_records, entries_that_are_not_understood, kBadServers) {
+  cr_assert(!DecodeServer({"i-1", 1, kBadServers[*row_index]}).has_value());
+}
+
+Test(platform_records, server) {
+  const auto server = DecodeServer(
+      {"i-1", 7,
+       R"({"Service":"s","Addr":"1.2.3.4:5","Zone":"z","State":"draining",)"
+       R"("DbRole":"primary","born":99,"SeqNo":4})"});
+  cr_assert(server.has_value());
+  cr_expect(server.value().draining);
+  cr_expect_eq(server.value().role, ReplicationRole::kPrimary);
+  cr_expect_eq(server.value().born, 99U);
+  cr_expect_eq(server.value().revision, 7U);
+}
+
+Test(platform_records, configuration) {
+  const auto deployment = DecodeDeployment(
+      {"main", 3,
+       R"({"Version":7,"Routes":[{"Name":"r","Host":"db","Kind":)"
+       R"("read_your_writes","TimeoutMs":800,"TargetLatencyMs":200,)"
+       R"("Priority":2,"Service":"s","MaxStalenessMs":2500}],)"
+       R"("Services":[{"Name":"s","MaxConns":16,"SyncReplicas":1}],)"
+       R"("Limits":{"TxIdleMs":3000}})"});
+  cr_assert(deployment.has_value());
+  const Route* route = deployment.value().FindRoute("db");
+  cr_assert_not_null(route);
+  cr_expect_eq(route->freshness, ReadFreshness::kReadYourWrites);
+  cr_expect_eq(route->max_staleness, std::chrono::milliseconds(2'500));
+  cr_expect_eq(deployment.value().groups.at(GroupName("s")).connections, 16U);
+}
+
+}  // namespace jackdawturn::gateway::platform
