Gateway: Promote only a replica that covers instances that have left

Ruled out: a wrong choice among the replicas; both stood at the same position. Change: the proxy notes when an instance leaves its group; after that it promotes only a replica that has a position which the primary showed later. Without such a position it waits for the primary. Measured: a table with three rows fails without the rule and passes with it.

--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -40,6 +40,10 @@
   std::map<InstanceName, ReplicaProgress> progress;
   std::map<GroupName, SeenClaim> claims;
   PrimaryWatch watch;
+  // When an instance last left its group with its log. Before this proxy
+  // started, one may have left at any time.
+  std::map<GroupName, TimePoint> departures;
+  TimePoint started = timers.now();
 };
 
 }  // namespace jackdawturn::gateway
--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -122,11 +122,11 @@
     const InstanceName id(change.record.name);
     m_log.Belief(EventKind::kMembership, GroupName(), "unlisted", id.value(),
                  {{"revision", std::to_string(change.record.revision)}});
+    const BackendServer* known = m_directory.Find(id);
+    const GroupName group = known ? known->group : GroupName();
     m_directory.Remove(id, now);
-    if (!m_directory.Find(id)) {
-      m_pool.Forget(id);
-      m_context.watch.Forget(id);
-    }
+    if (!m_directory.Find(id))
+      ForgetServer(group, id);
     return;
   }
   const auto server = m_ports.decode_server(change.record);
@@ -153,10 +153,19 @@
     // Whatever it had received before is gone.
     m_context.progress.erase(server.id);
     m_context.watch.Forget(server.id);
+    m_context.departures[server.group] = m_ports.timers.now();
   }
   m_directory.Update(server, m_ports.timers.now());
 }
 
+void GatewayHost::ForgetServer(const GroupName& group, const InstanceName& id) {
+  m_log.Belief(EventKind::kMembership, group, "gone", id.value(), {});
+  m_pool.Forget(id);
+  m_context.watch.Forget(id);
+  m_context.progress.erase(id);
+  m_context.departures[group] = m_ports.timers.now();
+}
+
 void GatewayHost::StoreContact(const char* collection, const Error* lost) {
   m_log.Belief(EventKind::kPlatform, GroupName(), lost ? "lost" : "regained",
                collection,
@@ -167,12 +176,8 @@
 void GatewayHost::Tick() {
   m_ports.timers.After(kTickInterval, [this] { Tick(); });
   if (m_servers_sync.in_contact()) {
-    for (const InstanceName& id : m_directory.Expire(m_ports.timers.now())) {
-      m_log.Belief(EventKind::kMembership, GroupName(), "gone", id.value(), {});
-      m_pool.Forget(id);
-      m_context.watch.Forget(id);
-      m_context.progress.erase(id);
-    }
+    for (const BackendServer& server : m_directory.Expire(m_ports.timers.now()))
+      ForgetServer(server.group, server.id);
   }
   if (++m_ticks % kTicksBetweenSweeps == 0)
     m_pool.CloseIdle();
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -74,6 +74,8 @@
   void ServersListed(const RecordList& list);
   void ServerChanged(const RecordChange& change);
   void UpdateServer(const BackendServer& server);
+  // Drops what is known of an instance that has left.
+  void ForgetServer(const GroupName& group, const InstanceName& id);
   void StoreContact(const char* collection, const Error* lost);
   void Tick();
   void CheckGroup(const GroupName& group);
--- a/libraries/gateway/primary_change.cc
+++ b/libraries/gateway/primary_change.cc
@@ -406,6 +406,22 @@
     return AwaitCandidate();
   }
   m_candidate = *ChooseNewPrimary(Replicas());
+  PromoteIfComplete();
+}
+
+bool PrimaryChange::CoversDepartures() {
+  const auto departure = m_context.departures.find(m_options.group);
+  const TimePoint since = departure == m_context.departures.end()
+                              ? m_context.started
+                              : departure->second;
+  const auto required = m_context.positions[m_options.group].Covering(since);
+  return required && Find(m_candidate)->status->received >= *required;
+}
+
+void PrimaryChange::PromoteIfComplete() {
+  if (!CoversDepartures())
+    return ResumeAndEnd(Result::kNotPossible,
+                        "commits of an instance that has left may be missing");
   Promote();
 }
 
@@ -413,7 +429,7 @@
   Member& candidate = *Find(m_candidate);
   Command(candidate, CommandKind::kStatus, [this](bool answered) {
     if (answered && Find(m_candidate)->status->received >= NewestReceived())
-      return Promote();
+      return PromoteIfComplete();
     if (!answered || m_context.timers.now() >= m_wait_until) {
       return ResumeAndEnd(Result::kFailed, "the new primary has not caught up");
     }
--- a/libraries/gateway/primary_change.h
+++ b/libraries/gateway/primary_change.h
@@ -120,6 +120,10 @@
   void Paused();
   void AwaitCandidate();
   bool MembersUnchanged() const;
+  // The new primary has every commit that may have been acknowledged with the
+  // help of an instance that has left since.
+  bool CoversDepartures();
+  void PromoteIfComplete();
   void Promote();
   void PromoteAnswered(jackdawturn::Result<void> result);
   void AwaitLead();
--- a/libraries/gateway/server_directory.cc
+++ b/libraries/gateway/server_directory.cc
@@ -52,12 +52,12 @@
     Remove(id, now);
 }
 
-std::vector<InstanceName> ServerDirectory::Expire(TimePoint now) {
-  std::vector<InstanceName> gone;
+std::vector<BackendServer> ServerDirectory::Expire(TimePoint now) {
+  std::vector<BackendServer> gone;
   for (auto entry = m_entries.begin(); entry != m_entries.end();) {
     const auto& lapsed_at = entry->second.lapsed_at;
     if (lapsed_at && *lapsed_at + kReturnTime <= now) {
-      gone.push_back(entry->first);
+      gone.push_back(entry->second.server);
       entry = m_entries.erase(entry);
     } else {
       ++entry;
--- a/libraries/gateway/server_directory.h
+++ b/libraries/gateway/server_directory.h
@@ -28,9 +28,9 @@
   // The registry's whole content; every other instance is removed.
   void Replace(const std::vector<BackendServer>& servers, TimePoint now);
 
-  // Removes instances whose time for a return has passed. Returns their ids.
+  // Removes instances whose time for a return has passed, and returns them.
   // Precondition: the store is in contact, so that a return would be seen.
-  std::vector<InstanceName> Expire(TimePoint now);
+  std::vector<BackendServer> Expire(TimePoint now);
 
   // The instance said that it does not lead, whatever the registry says.
   void MarkDeposed(const InstanceName& id);
--- a/tests/gateway/primary_change_test.cc
+++ b/tests/gateway/primary_change_test.cc
@@ -13,6 +13,11 @@
 
 // Changes of the primary "p", each with a proxy's view of its own.
 struct ChangeRig : GatewayRig {
+  // The proxy has seen where the primary's log stood.
+  ChangeRig() {
+    context.positions[GroupName("loans")].Observe(timers.now(), {1, 9});
+  }
+
   std::shared_ptr<PrimaryChange> Begin(Kind kind, const std::string& holder) {
     return PrimaryChange::Create(
         context, {store, group.Promoter(), group.Opener(), FakeStatus},
@@ -130,6 +135,39 @@
   }
 }
 
+// A commit may have been acknowledged by a replica that has left with its log
+// while the others received nothing; only the primary has it then (seen as LOST
+// on users' days).
+struct DepartureCase {
+  bool position_seen_since;
+  uint64_t position;
+  bool promoted;
+};
+
+static const DepartureCase kDepartures[] = {
+    {true, 9, true},
+    {true, 11, false},
+    {false, 9, false},
+};
+
+TABLE_TEST(gateway_primary_change,
+           commits_of_a_replica_that_left,
+           kDepartures) {
+  const DepartureCase& row = kDepartures[*row_index];
+  ChangeRig rig;
+  rig.group.At("p").silent = true;
+  rig.timers.Advance(1s);
+  rig.context.departures[GroupName("loans")] = rig.timers.now();
+  if (row.position_seen_since)
+    rig.context.positions[GroupName("loans")].Observe(rig.timers.now(),
+                                                      {1, row.position});
+  const auto change = rig.Begin(Kind::kFailure, "one");
+  change->Start();
+  rig.timers.Advance(2s);
+  cr_assert_eq(rig.group.promotions.size(), row.promoted ? 1U : 0U);
+  cr_assert_eq(rig.group.At("a").paused_term, 0U);
+}
+
 // A lost answer to the claim is not a failure; the claim is read back.
 Test(gateway_primary_change, claim_with_a_lost_answer_is_recognised) {
   ChangeRig rig;
