Gateway, Platform: Let startups wait for the first configuration

Change: a startup waits until the first configuration is known; the client's own limit bounds the wait.

--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -66,10 +66,17 @@
   m_log.Belief(EventKind::kProcess, GroupName(), "drain", "", {});
 }
 
+void GatewayHost::WhenConfigured(std::function<void()> action) {
+  if (m_context.deployment)
+    return action();
+  m_awaiting_configuration.push_back(std::move(action));
+}
+
 std::shared_ptr<ClientSession> GatewayHost::OpenSession(
     const std::string& database,
     ClientSession::OnReply on_reply) {
-  if (!m_context.deployment || !m_context.deployment->FindRoute(database))
+  VERIFY(m_context.deployment);
+  if (!m_context.deployment->FindRoute(database))
     return nullptr;
   return ClientSession::Create(m_context, database, std::move(on_reply));
 }
@@ -97,6 +104,8 @@
       {{"version", std::to_string(m_context.deployment->version)},
        {"revision", std::to_string(record.revision)},
        {"routes", std::to_string(m_context.deployment->routes.size())}});
+  for (const auto& action : std::exchange(m_awaiting_configuration, {}))
+    action();
 }
 
 void GatewayHost::ServersListed(const RecordList& list) {
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "gateway/client_session.h"
 #include "gateway/gateway_context.h"
@@ -47,7 +48,11 @@
   // Reports not ready from now on.
   void Drain();
 
+  // Runs `action` once the first configuration is known, at once if it is.
+  void WhenConfigured(std::function<void()> action);
+
   // Returns nothing when the database has no route.
+  // Precondition: the first configuration is known.
   std::shared_ptr<ClientSession> OpenSession(const std::string& database,
                                              ClientSession::OnReply on_reply);
 
@@ -93,6 +98,8 @@
   StoreSync m_configuration_sync;
   StoreSync m_servers_sync;
   std::map<GroupName, GroupState> m_groups;
+  // What waits for the first configuration.
+  std::vector<std::function<void()>> m_awaiting_configuration;
   std::mt19937_64 m_random;
   uint64_t m_attempts = 0;
   uint64_t m_ticks = 0;
--- /dev/null
+++ b/tests/gateway/host_test.cc
@@ -0,0 +1,138 @@
+#include <string>
+#include <vector>
+
+#include "gateway/fake_group.h"
+
+#include "support/table_test.h"
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+
+// A store whose lists and watches are answered by the test.
+class ScriptedStore : public FakeStore {
+ public:
+  using FakeStore::FakeStore;
+
+  void List(RecordCollection collection,
+            Duration,
+            std::function<void(Result<RecordList>)> on_list) override {
+    ++lists;
+    if (collection == RecordCollection::kConfiguration)
+      on_configuration = std::move(on_list);
+    else
+      on_servers = std::move(on_list);
+  }
+  void Watch(RecordCollection collection,
+             uint64_t revision,
+             Duration,
+             std::function<void(Result<RecordChanges>)> on_changes) override {
+    if (collection != RecordCollection::kServers)
+      return;
+    watched_from = revision;
+    on_server_changes = std::move(on_changes);
+  }
+
+  size_t lists = 0;
+  uint64_t watched_from = 0;
+  std::function<void(Result<RecordList>)> on_configuration;
+  std::function<void(Result<RecordList>)> on_servers;
+  std::function<void(Result<RecordChanges>)> on_server_changes;
+};
+
+struct HostRig {
+  HostRig() { host.Start(); }
+
+  static Result<Deployment> Decode(const StoredRecord& record) {
+    if (record.body == "bad") {
+      const Error error{ErrorCode::kInvalidArgument, "fake", "", "bad"};
+      return error;
+    }
+    Deployment deployment;
+    deployment.version = std::stoull(record.body);
+    deployment.routes["db"] = {.database = "db"};
+    return deployment;
+  }
+
+  static Result<BackendServer> DecodeServer(const StoredRecord& record) {
+    BackendServer server;
+    server.id = InstanceName(record.name);
+    server.group = GroupName("loans");
+    server.revision = record.revision;
+    return server;
+  }
+
+  void Configure(const std::string& body) {
+    store.on_configuration(RecordList{{{"main", 5, body}}, 5});
+  }
+
+  VirtualTimers timers;
+  FakeGroup group{timers};
+  ScriptedStore store{timers};
+  MetricRegistry metrics;
+  GatewayLog log{nullptr, metrics, VmName("vm")};
+  GatewayHost host{{.name = VmName("vm"), .zone = ZoneName("z"), .seed = 1},
+                   {timers, store, group.Opener(), group.Promoter(), FakeStatus,
+                    Decode, DecodeServer},
+                   log};
+};
+
+}  // namespace
+
+// A proxy that has just started must not refuse a database that the
+// configuration has (seen as CONFIG on users' days).
+Test(gateway_host, startups_wait_for_the_first_configuration) {
+  HostRig rig;
+  bool ran = false;
+  rig.host.WhenConfigured([&] { ran = true; });
+  cr_assert(!ran);
+  cr_assert(!rig.host.ready());
+  rig.Configure("7");
+  cr_assert(ran);
+  rig.store.on_servers(RecordList{{}, 5});
+  cr_assert(rig.host.ready());
+}
+
+// A configuration that was in force never comes back, and one that is not
+// understood changes nothing.
+Test(gateway_host, versions_never_revert) {
+  HostRig rig;
+  for (const auto& [body, in_force] :
+       std::vector<std::pair<std::string, uint64_t>>{
+           {"7", 7}, {"6", 7}, {"bad", 7}, {"9", 9}}) {
+    rig.Configure(body);
+    cr_expect_eq(rig.host.context().deployment->version, in_force);
+  }
+}
+
+// History that the store has dropped is made up by a new list.
+Test(gateway_host, lost_history_is_listed_again) {
+  HostRig rig;
+  rig.store.on_servers(RecordList{{{"a", 3, ""}}, 5});
+  cr_assert_eq(rig.store.watched_from, 5U);
+  const size_t lists = rig.store.lists;
+  const Error gone{ErrorCode::kNotFound, "fake", "", "410"};
+  rig.store.on_server_changes(gone);
+  rig.timers.Advance(1s);
+  cr_assert_eq(rig.store.lists, lists + 1);
+}
+
+// Proxies that lost the store together must not return to it at one moment.
+Test(gateway_host, retries_after_an_outage_are_spread_and_bounded) {
+  HostRig rig;
+  const Error down{ErrorCode::kUnavailable, "fake", "", "503"};
+  size_t calls = 0;
+  for (Duration time = 0ms; time < 10s; time += 10ms) {
+    if (const auto answer = std::exchange(rig.store.on_servers, nullptr)) {
+      ++calls;
+      answer(down);
+    }
+    rig.timers.Advance(10ms);
+  }
+  cr_expect_gt(calls, 10U);
+  cr_expect_lt(calls, 50U);
+}
+
+}  // namespace jackdawturn::gateway
