--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -17,6 +17,9 @@
 constexpr Duration kRetryAfterFailure = 300ms;
 // A promotion that the registry does not show yet looks like a missing primary.
 constexpr Duration kMissingPrimaryTime = 500ms;
+// A new primary is not replaced sooner, so that proxies that see different
+// parts of the network do not replace each other's choice.
+constexpr Duration kShortestLead = 3s;
 
 }  // namespace
 
@@ -213,9 +216,21 @@
   return std::nullopt;
 }
 
+void GatewayHost::NotePrimary(const GroupName& group, GroupState& state) {
+  const BackendServer* primary = m_directory.Primary(group);
+  if (!primary || primary->id == state.primary)
+    return;
+  // What was seen of it in another role says nothing of it as a primary.
+  m_context.watch.Forget(primary->id);
+  if (!state.primary.empty())
+    state.primary_since = m_ports.timers.now();
+  state.primary = primary->id;
+}
+
 void GatewayHost::CheckGroup(const GroupName& group) {
   GroupState& state = m_groups[group];
   const TimePoint now = m_ports.timers.now();
+  NotePrimary(group, state);
   const auto reason = FindReason(group);
   if (!reason) {
     state.reason_since.reset();
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -65,6 +65,9 @@
     TimePoint next_change;
     // When the present reason for a change was first seen.
     std::optional<TimePoint> reason_since;
+    // The instance that leads, and since when this proxy knows.
+    InstanceName primary;
+    TimePoint primary_since;
   };
 
   struct ChangeReason {
@@ -84,6 +87,7 @@
   void StoreContact(const char* collection, const Error* lost);
   void Tick();
   void CheckGroup(const GroupName& group);
+  void NotePrimary(const GroupName& group, GroupState& state);
   std::optional<ChangeReason> FindReason(const GroupName& group) const;
   void StartChange(const GroupName& group, const ChangeReason& reason);
   void ChangeEnded(const GroupName& group, PrimaryChange::Result result);
--- a/libraries/gateway/primary_change.cc
+++ b/libraries/gateway/primary_change.cc
@@ -113,6 +113,7 @@
     const InstanceName& id,
     jackdawturn::Result<std::unique_ptr<BackendSession>> opened) {
   Member& member = m_members[id];
+  member.reachable = opened || opened.error().code == ErrorCode::kExhausted;
   if (!opened && opened.error().code == ErrorCode::kExhausted)
     return BorrowConnection(member);
   if (!opened) {
@@ -247,12 +248,21 @@
   return true;
 }
 
+bool PrimaryChange::OldPrimaryReachable() const {
+  const auto old_primary = m_members.find(m_options.old_primary);
+  if (old_primary == m_members.end() || !old_primary->second.reachable)
+    return false;
+  const auto& status = old_primary->second.status;
+  return !status || status->role == ReplicationRole::kPrimary;
+}
+
 void PrimaryChange::Probed() {
   const bool stalled = m_options.reason == ToString(SuspicionReason::kStalled);
   if (LeaderHasChanged())
     return End(Result::kFalseAlarm, "another instance leads");
   const Member* leader = Leader();
-  if (leader && m_kind == Kind::kFailure && !stalled)
+  // A full primary, or one whose answer was lost, is not replaced.
+  if (m_kind == Kind::kFailure && !stalled && (leader || OldPrimaryReachable()))
     return End(Result::kFalseAlarm, "the primary answers");
   // A primary that does not answer cannot help its successor to catch up.
   if (!leader)
--- a/libraries/gateway/primary_change.h
+++ b/libraries/gateway/primary_change.h
@@ -77,6 +77,8 @@
     // Used instead of `session` when the instance accepts no new connection.
     BackendPool::ConnectionPtr pooled;
     std::optional<ReplicationStatus> status;
+    // It accepted or refused the connection, so it runs and can be reached.
+    bool reachable = false;
     bool paused = false;
   };
 
@@ -106,6 +108,8 @@
   const Member* Leader() const;
   // Ends the change when another instance leads by now.
   bool LeaderHasChanged();
+  // The old primary can be reached, whether or not it told its status.
+  bool OldPrimaryReachable() const;
   void Probed();
   // What was learned before the claim may date from before another change.
   void ProbedAgain();
--- a/tests/gateway/primary_change_test.cc
+++ b/tests/gateway/primary_change_test.cc
@@ -195,9 +195,13 @@
   cr_assert_eq(rig.results.front(), PrimaryChange::Result::kPromoted);
 }
 
-// A primary that answers is left alone.
-Test(gateway_primary_change, answering_primary_is_a_false_alarm) {
+// A primary that can be reached is left alone, also when it is at its limit of
+// connections (seen as healthy primaries that were replaced on users' days).
+static const bool kFull[] = {false, true};
+
+TABLE_TEST(gateway_primary_change, reachable_primary_is_a_false_alarm, kFull) {
   ChangeRig rig;
+  rig.group.At("p").full = kFull[*row_index];
   const auto change = rig.Begin(Kind::kFailure, "one");
   change->Start();
   rig.timers.Advance(2s);
