Gateway: Apply the shortest lead, and let clang-tidy pass

Cause: the rule that a new primary leads for at least 3 s was declared in the commit before and not applied; clang-tidy found it.

--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -238,8 +238,9 @@
   }
   if (!state.reason_since) {
     state.reason_since = now;
-    state.next_change = std::max(state.next_change,
-                                 now + reason->patience + Jitter(kStartSpread));
+    state.next_change =
+        std::max({state.next_change, state.primary_since + kShortestLead,
+                  now + reason->patience + Jitter(kStartSpread)});
   }
   if (state.change || now < state.next_change)
     return;
