Gateway: Send the clients of a cut-off zone elsewhere

Change: a proxy that reached none of the instances of other zones lately reports not ready, so that the balancer takes new clients to other zones, and then closes sessions between two operations. Tables replay a cut zone against crashes.

--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -11,6 +11,7 @@
 #include "gateway/primary_watch.h"
 #include "gateway/server_directory.h"
 #include "gateway/timers.h"
+#include "gateway/zone_reach.h"
 
 namespace jackdawturn::gateway {
 
@@ -40,6 +41,7 @@
   std::map<InstanceName, ReplicaProgress> progress;
   std::map<GroupName, SeenClaim> claims;
   PrimaryWatch watch;
+  ZoneReach reach;
   // When an instance last left its group with its log. Before this proxy
   // started, one may have left at any time.
   std::map<GroupName, TimePoint> departures;
--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -61,7 +61,8 @@
 }
 
 bool GatewayHost::ready() const {
-  return m_context.deployment && m_servers_known && !m_draining;
+  return m_context.deployment && m_servers_known && !m_draining &&
+         !m_isolated_since;
 }
 
 void GatewayHost::Drain() {
@@ -193,12 +194,32 @@
   }
   if (++m_ticks % kTicksBetweenSweeps == 0)
     m_pool.CloseIdle();
+  CheckIsolation();
   if (!m_context.deployment)
     return;
   for (const auto& [group, limits] : m_context.deployment->groups)
     CheckGroup(group);
 }
 
+void GatewayHost::CheckIsolation() {
+  const TimePoint now = m_ports.timers.now();
+  std::vector<InstanceName> remote;
+  for (const GroupName& group : m_directory.Groups()) {
+    for (const BackendServer* server : m_directory.All(group)) {
+      if (server->zone != m_options.zone)
+        remote.push_back(server->id);
+    }
+  }
+  const bool isolated = m_context.reach.Isolated(remote, now);
+  if (isolated == m_isolated_since.has_value())
+    return;
+  m_isolated_since = isolated ? std::optional(now) : std::nullopt;
+  m_log.Belief(EventKind::kMembership, GroupName(),
+               isolated ? "zone_isolated" : "zone_connected",
+               m_options.zone.value(),
+               {{"remote_instances", std::to_string(remote.size())}});
+}
+
 std::optional<GatewayHost::ChangeReason> GatewayHost::FindReason(
     const GroupName& group) const {
   if (m_directory.All(group).empty())
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -43,8 +44,11 @@
 
   void Start();
 
-  // The configuration and the instances are known, and no drain has begun.
+  // The configuration and the instances are known, instances of other zones can
+  // be reached, and no drain has begun.
   bool ready() const;
+  // When this proxy was cut off from the other zones; nothing while it is not.
+  std::optional<TimePoint> isolated_since() const { return m_isolated_since; }
   // Reports not ready from now on.
   void Drain();
 
@@ -86,6 +90,7 @@
   void ForgetServer(const GroupName& group, const InstanceName& id);
   void StoreContact(const char* collection, const Error* lost);
   void Tick();
+  void CheckIsolation();
   void CheckGroup(const GroupName& group);
   void NotePrimary(const GroupName& group, GroupState& state);
   std::optional<ChangeReason> FindReason(const GroupName& group) const;
@@ -105,6 +110,7 @@
   // What waits for the first configuration.
   std::vector<std::function<void()>> m_awaiting_configuration;
   std::mt19937_64 m_random;
+  std::optional<TimePoint> m_isolated_since;
   uint64_t m_attempts = 0;
   uint64_t m_ticks = 0;
   bool m_servers_known = false;
--- a/libraries/gateway/primary_change.cc
+++ b/libraries/gateway/primary_change.cc
@@ -114,6 +114,10 @@
     jackdawturn::Result<std::unique_ptr<BackendSession>> opened) {
   Member& member = m_members[id];
   member.reachable = opened || opened.error().code == ErrorCode::kExhausted;
+  if (member.reachable)
+    m_context.reach.Reached(id, m_context.timers.now());
+  else
+    m_context.reach.Failed(id, m_context.timers.now());
   if (!opened && opened.error().code == ErrorCode::kExhausted)
     return BorrowConnection(member);
   if (!opened) {
--- a/libraries/gateway/statement_run.cc
+++ b/libraries/gateway/statement_run.cc
@@ -202,6 +202,8 @@
 void StatementRun::NoteOpenFailure(const BackendServer& server,
                                    ErrorCode code) {
   const TimePoint now = m_context.timers.now();
+  if (code == ErrorCode::kTimeout || code == ErrorCode::kUnavailable)
+    m_context.reach.Failed(server.id, now);
   if (code == ErrorCode::kTimeout)
     m_context.watch.OpenTimedOut(server.id, now);
   else if (code == ErrorCode::kUnavailable)
@@ -298,6 +300,7 @@
   if (!replies)
     return Broken(replies.error().message);
   m_context.watch.Answered(m_target, changes_data(), m_context.timers.now());
+  m_context.reach.Reached(m_target, m_context.timers.now());
   m_instance_state = replies.value().back().state;
   if (!m_on_done)
     return GiveBack();
--- /dev/null
+++ b/libraries/gateway/zone_reach.cc
@@ -0,0 +1,40 @@
+#include "gateway/zone_reach.h"
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+// A single instance that cannot be reached has probably crashed.
+constexpr size_t kFewestFailures = 2;
+
+}  // namespace
+
+void ZoneReach::Reached(const InstanceName& id, TimePoint now) {
+  Evidence& evidence = m_evidence[id];
+  evidence.reached = now;
+  evidence.failed.reset();
+}
+
+void ZoneReach::Failed(const InstanceName& id, TimePoint now) {
+  m_evidence[id].failed = now;
+}
+
+bool ZoneReach::Isolated(const std::vector<InstanceName>& remote,
+                         TimePoint now) const {
+  size_t failures = 0;
+  for (const InstanceName& id : remote) {
+    const auto found = m_evidence.find(id);
+    if (found == m_evidence.end())
+      continue;
+    const Evidence& evidence = found->second;
+    const bool failed =
+        evidence.failed && *evidence.failed + kEvidenceTime > now;
+    // An answer that came before the last failure no longer counts.
+    if (!failed && evidence.reached && *evidence.reached + kEvidenceTime > now)
+      return false;
+    failures += failed ? 1 : 0;
+  }
+  return failures >= kFewestFailures && failures * 2 >= remote.size();
+}
+
+}  // namespace jackdawturn::gateway
--- a/programs/jackdawturn/gateway_command.cc
+++ b/programs/jackdawturn/gateway_command.cc
@@ -25,6 +25,7 @@
 // The balancer sends no new connections after it was told twice.
 constexpr Duration kBalancerTime = 2'300ms;
 constexpr Duration kSessionCheck = 50ms;
+constexpr Duration kIsolationCheck = 200ms;
 // The share of the time until the process is killed within which it ends.
 constexpr double kGraceShare = 0.85;
 
@@ -65,6 +66,7 @@
     m_log.Belief(EventKind::kProcess, GroupName(), "start", "",
                  {{"zone", m_settings.zone.value()}});
     m_host.Start();
+    WatchIsolation();
     boost::asio::signal_set signals(m_context, SIGTERM, SIGINT);
     signals.async_wait([this](boost::system::error_code error, int) {
       if (!error)
@@ -88,7 +90,21 @@
     });
   }
 
+  // While the zone is cut off, clients are better served by other zones, where
+  // the balancer sends them once it has taken this proxy out.
+  void WatchIsolation() {
+    m_timers.After(kIsolationCheck, [this] { WatchIsolation(); });
+    if (m_draining)
+      return;
+    const auto since = m_host.isolated_since();
+    if (since && *since + kBalancerTime <= m_timers.now())
+      m_listener->CloseIdleSessions();
+    else
+      m_listener->KeepSessions();
+  }
+
   void Drain() {
+    m_draining = true;
     m_host.Drain();
     m_drain_ends = m_timers.now() + std::chrono::duration_cast<Duration>(
                                         m_settings.grace * kGraceShare);
@@ -118,6 +134,7 @@
   std::unique_ptr<platform::ClientListener> m_listener;
   std::unique_ptr<HttpServer> m_readiness;
   TimePoint m_drain_ends;
+  bool m_draining = false;
 };
 
 Result<int> RunGateway(const std::string& path) {
--- a/tests/gateway/decisions_test.cc
+++ b/tests/gateway/decisions_test.cc
@@ -179,6 +179,41 @@
                    "b");
 }
 
+// A cut zone, told apart from instances that have crashed.
+struct ReachCase {
+  const char* pattern;
+  // r: reached, then f: failed, F: failed only, -: not tried.
+  const char* remote;
+  bool isolated;
+};
+
+static const ReachCase kReaches[] = {
+    {"all is well", "rrrrrr", false},
+    {"nothing was tried yet", "------", false},
+    {"one instance has crashed", "rrrFrr", false},
+    {"a whole group has crashed", "FF-rr-", false},
+    {"the zone is cut off", "ffff--", true},
+    {"the zone is cut off and few were tried", "ff----", false},
+};
+
+TABLE_TEST(gateway_zone_reach, cut_zone_by_pattern, kReaches) {
+  const ReachCase& row = kReaches[*row_index];
+  ZoneReach reach;
+  std::vector<InstanceName> remote;
+  for (const char* state = row.remote; *state; ++state) {
+    const InstanceName id("i-" + std::to_string(remote.size()));
+    remote.push_back(id);
+    if (*state == 'r' || *state == 'f')
+      reach.Reached(id, kStart);
+    if (*state == 'f' || *state == 'F')
+      reach.Failed(id, kStart + 100ms);
+  }
+  cr_expect_eq(reach.Isolated(remote, kStart + 200ms), row.isolated, "%s",
+               row.pattern);
+  // Without fresh evidence clients may come again.
+  cr_expect(!reach.Isolated(remote, kStart + 2s));
+}
+
 // Each way in which a primary fails, seen from the requests of one proxy.
 struct WatchCase {
   const char* pattern;
