Gateway: Close idle connections to instances after 300 ms

Cause: after a loss of power of all proxies, instances keep the old connections for about 3 s; with the limit of connections used up, the restarted proxies were refused new ones, and every second request failed until then. Change: connections beyond one an instance are closed after 300 ms without use (was 5 s).

--- a/libraries/gateway/backend_pool.h
+++ b/libraries/gateway/backend_pool.h
@@ -33,7 +33,7 @@
     Duration unreachable_time = std::chrono::milliseconds(150);
     // An instance without a free connection is asked again after this time.
     Duration full_time = std::chrono::milliseconds(40);
-    Duration idle_time = std::chrono::seconds(5);
+    Duration idle_time = std::chrono::milliseconds(300);
     // A rollback without an answer by then ends with the connection.
     Duration rollback_timeout = std::chrono::milliseconds(500);
     // An opening connection takes one of the instance's slots.
--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -10,7 +10,7 @@
 using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
 
 constexpr Duration kTickInterval = 100ms;
-constexpr uint64_t kTicksBetweenSweeps = 5;
+constexpr uint64_t kTicksBetweenSweeps = 2;
 // Proxies that see the same reason start one after the other within this time.
 constexpr Duration kStartSpread = 150ms;
 constexpr Duration kRetryAfterOther = 1s;
