--- a/libraries/proxy/proxy_context.cc
+++ b/libraries/proxy/proxy_context.cc
@@ -87,6 +87,19 @@
   }
 }
 
+void ProxyContext::RecordFailure(const CallerRequest& request,
+                                 const CallerAnswer& answer,
+                                 TimePoint arrived,
+                                 Fields further) {
+  further[std::string(kOutcomeField)] = std::string(ToString(answer.outcome));
+  further[std::string(kReasonField)] = answer.reason;
+  further["operation"] = TargetOf(request.operation);
+  further["class"] = request.class_name.value();
+  further["waited_us"] = std::to_string((now() - arrived).count());
+  Record(EventKind::kAnswer, request.group, request.request, "answered",
+         request.caller, std::move(further));
+}
+
 void ProxyContext::Record(EventKind kind,
                           const GroupName& group,
                           const RequestId& request,
--- a/libraries/proxy/proxy_context.h
+++ b/libraries/proxy/proxy_context.h
@@ -54,6 +54,13 @@
               std::string peer,
               Fields fields = {});
 
+  // Adds the one event of a request that was not served; `further` joins the
+  // fields that every such event has. `arrived` is when the request came here.
+  void RecordFailure(const CallerRequest& request,
+                     const CallerAnswer& answer,
+                     TimePoint arrived,
+                     Fields further);
+
   HybridLogicalClock& clock() { return m_clock; }
   std::mt19937_64& random() { return m_random; }
   // A new id of 32 hexadecimal digits. Others cannot guess it if
--- a/libraries/proxy/relay_host.cc
+++ b/libraries/proxy/relay_host.cc
@@ -279,17 +279,8 @@
 
 void RelayHost::RecordFailure(const Relayed& relayed,
                               const CallerAnswer& answer) {
-  const CallerRequest& request = relayed.request;
-  m_context.Record(
-      EventKind::kAnswer, request.group, request.request, "answered",
-      request.caller,
-      {{std::string(kOutcomeField), std::string(ToString(answer.outcome))},
-       {std::string(kReasonField), answer.reason},
-       {"operation", TargetOf(request.operation)},
-       {"class", request.class_name.value()},
-       {"holder", relayed.holder.value()},
-       {"waited_us",
-        std::to_string((m_context.now() - relayed.arrived).count())}});
+  m_context.RecordFailure(relayed.request, answer, relayed.arrived,
+                          {{"holder", relayed.holder.value()}});
 }
 
 void RelayHost::LearnHolder(Relayed& relayed, const RelayReply& reply) {
--- a/libraries/proxy/request_events.cc
+++ b/libraries/proxy/request_events.cc
@@ -25,11 +25,6 @@
   const CallerRequest& request = caller.request;
   const TimePoint now = m_context.now();
   ProxyContext::Fields fields{
-      {std::string(kOutcomeField), std::string(ToString(answer.outcome))},
-      {std::string(kReasonField), answer.reason},
-      {"operation", TargetOf(request.operation)},
-      {"class", request.class_name.value()},
-      {"waited_us", std::to_string((now - caller.arrived).count())},
       {"time_left_us", std::to_string((caller.deadline - now).count())}};
   if (!request.transaction.empty())
     fields["transaction"] = request.transaction.value();
@@ -44,8 +39,7 @@
     fields["steady"] = m_groups.Steady(request.group) ? "true" : "false";
     fields["held"] = m_groups.HoldsWrites(request.group) ? "true" : "false";
   }
-  m_context.Record(EventKind::kAnswer, request.group, request.request,
-                   "answered", request.caller, std::move(fields));
+  m_context.RecordFailure(request, answer, caller.arrived, std::move(fields));
 }
 
 }  // namespace jackdawturn::proxy
