Gateway: Name how a change of primary ends apart from Result

Cause: PrimaryChange::Result hid the template of that name, so that its own header had to spell out the namespace.

--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -286,21 +286,21 @@
   state.change = PrimaryChange::Create(
       m_context,
       {m_ports.store, m_ports.promote, m_ports.open, m_ports.read_status},
-      std::move(options), [this, group](PrimaryChange::Result result) {
+      std::move(options), [this, group](PrimaryChange::Outcome result) {
         ChangeEnded(group, result);
       });
   state.change->Start();
 }
 
 void GatewayHost::ChangeEnded(const GroupName& group,
-                              PrimaryChange::Result result) {
+                              PrimaryChange::Outcome result) {
   GroupState& state = m_groups[group];
-  const bool other = result == PrimaryChange::Result::kOtherHolder;
+  const bool other = result == PrimaryChange::Outcome::kOtherHolder;
   state.next_change = m_ports.timers.now() +
                       (other ? kRetryAfterOther : kRetryAfterFailure) +
                       Jitter(kStartSpread);
   state.reason_since.reset();
-  if (result == PrimaryChange::Result::kFalseAlarm) {
+  if (result == PrimaryChange::Outcome::kFalseAlarm) {
     if (const BackendServer* primary = m_directory.Primary(group))
       m_context.watch.Forget(primary->id);
   }
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -95,7 +95,7 @@
   void NotePrimary(const GroupName& group, GroupState& state);
   std::optional<ChangeReason> FindReason(const GroupName& group) const;
   void StartChange(const GroupName& group, const ChangeReason& reason);
-  void ChangeEnded(const GroupName& group, PrimaryChange::Result result);
+  void ChangeEnded(const GroupName& group, PrimaryChange::Outcome result);
   Duration Jitter(Duration longest);
 
   const Options m_options;
--- a/libraries/gateway/primary_change.cc
+++ b/libraries/gateway/primary_change.cc
@@ -100,7 +100,7 @@
   }
   m_awaited = m_members.size();
   if (m_awaited == 0)
-    return End(Result::kNotPossible, "no instance is known");
+    return End(Outcome::kNotPossible, "no instance is known");
   for (const auto& [id, member] : m_members) {
     m_ports.open(member.server, kOpenTimeout,
                  [self = shared_from_this(), id = id](auto session) mutable {
@@ -111,7 +111,7 @@
 
 void PrimaryChange::MemberOpened(
     const InstanceName& id,
-    jackdawturn::Result<std::unique_ptr<BackendSession>> opened) {
+    Result<std::unique_ptr<BackendSession>> opened) {
   Member& member = m_members[id];
   member.reachable = opened || opened.error().code == ErrorCode::kExhausted;
   if (member.reachable)
@@ -263,20 +263,20 @@
 void PrimaryChange::Probed() {
   const bool stalled = m_options.reason == ToString(SuspicionReason::kStalled);
   if (LeaderHasChanged())
-    return End(Result::kFalseAlarm, "another instance leads");
+    return End(Outcome::kFalseAlarm, "another instance leads");
   const Member* leader = Leader();
   // A full primary, or one whose answer was lost, is not replaced.
   if (m_kind == Kind::kFailure && !stalled && (leader || OldPrimaryReachable()))
-    return End(Result::kFalseAlarm, "the primary answers");
+    return End(Outcome::kFalseAlarm, "the primary answers");
   // A primary that does not answer cannot help its successor to catch up.
   if (!leader)
     m_kind = Kind::kFailure;
   for (const auto& [id, member] : m_members) {
     if (!is_old_primary(member) && !member.status)
-      return End(Result::kNotPossible, "a replica does not answer");
+      return End(Outcome::kNotPossible, "a replica does not answer");
   }
   if (Replicas().empty())
-    return End(Result::kNotPossible, "no replica is known");
+    return End(Outcome::kNotPossible, "no replica is known");
   ReadClaim();
 }
 
@@ -287,11 +287,11 @@
                      });
 }
 
-void PrimaryChange::ClaimRead(jackdawturn::Result<StoredRecord> record) {
+void PrimaryChange::ClaimRead(Result<StoredRecord> record) {
   if (!record) {
     if (record.error().code == ErrorCode::kNotFound)
       return WriteClaim(0);
-    return End(Result::kFailed, record.error().message);
+    return End(Outcome::kFailed, record.error().message);
   }
   const auto claim = DecodeClaim(record.value().body);
   if (!claim)
@@ -303,7 +303,7 @@
     seen = {record.value().revision, m_context.timers.now()};
   const bool active = claim && !claim.value().ended;
   if (active && m_context.timers.now() < seen.first_seen + kClaimTime)
-    return End(Result::kOtherHolder, claim.value().holder);
+    return End(Outcome::kOtherHolder, claim.value().holder);
   WriteClaim(record.value().revision);
 }
 
@@ -316,14 +316,14 @@
       });
 }
 
-void PrimaryChange::ClaimWritten(jackdawturn::Result<StoredRecord> record) {
+void PrimaryChange::ClaimWritten(Result<StoredRecord> record) {
   if (record)
     return Claimed(record.value().revision);
   if (record.error().code == ErrorCode::kTimeout)
     return ReadBackClaim();
   if (record.error().code == ErrorCode::kConflict)
-    return End(Result::kOtherHolder, "the claim was lost");
-  End(Result::kFailed, record.error().message);
+    return End(Outcome::kOtherHolder, "the claim was lost");
+  End(Outcome::kFailed, record.error().message);
 }
 
 void PrimaryChange::ReadBackClaim() {
@@ -331,10 +331,10 @@
       RecordCollection::kPrimaryChanges, m_options.group.value(), kStoreTimeout,
       [self = shared_from_this()](auto record) {
         if (!record)
-          return self->End(Result::kFailed, record.error().message);
+          return self->End(Outcome::kFailed, record.error().message);
         const auto claim = DecodeClaim(record.value().body);
         if (!claim || claim.value().attempt != self->m_options.attempt)
-          return self->End(Result::kOtherHolder, "the claim was lost");
+          return self->End(Outcome::kOtherHolder, "the claim was lost");
         self->Claimed(record.value().revision);
       });
 }
@@ -351,12 +351,12 @@
   LogStatuses("status");
   if (LeaderHasChanged()) {
     Release();
-    return End(Result::kFalseAlarm, "another instance leads by now");
+    return End(Outcome::kFalseAlarm, "another instance leads by now");
   }
   for (const auto& [id, member] : m_members) {
     if (!is_old_primary(member) && !member.status) {
       Release();
-      return End(Result::kNotPossible, "a replica does not answer any more");
+      return End(Outcome::kNotPossible, "a replica does not answer any more");
     }
   }
   PauseReplicas();
@@ -380,7 +380,7 @@
 
 void PrimaryChange::PauseReplicas() {
   if (!MembersUnchanged())
-    return End(Result::kFailed, "the group's instances have changed");
+    return End(Outcome::kFailed, "the group's instances have changed");
   for (const auto& [id, member] : m_members) {
     if (member.status)
       m_pause_term = std::max(
@@ -392,7 +392,7 @@
     std::erase_if(lasting, [](const auto& member) { return member.draining; });
     const auto chosen = ChooseNewPrimary(lasting);
     if (!chosen)
-      return End(Result::kNotPossible, "every replica is leaving");
+      return End(Outcome::kNotPossible, "every replica is leaving");
     m_candidate = *chosen;
   }
   std::vector<Member*> paused;
@@ -409,11 +409,11 @@
   LogStatuses("paused");
   for (const auto& [id, member] : m_members) {
     if (member.paused && !member.status) {
-      return ResumeAndEnd(Result::kFailed, "a replica could not be paused");
+      return ResumeAndEnd(Outcome::kFailed, "a replica could not be paused");
     }
   }
   if (!MembersUnchanged()) {
-    return ResumeAndEnd(Result::kFailed, "the group's instances have changed");
+    return ResumeAndEnd(Outcome::kFailed, "the group's instances have changed");
   }
   if (m_kind == Kind::kPlanned) {
     m_wait_until = m_context.timers.now() + kCatchUpTime;
@@ -434,7 +434,7 @@
 
 void PrimaryChange::PromoteIfComplete() {
   if (!CoversDepartures())
-    return ResumeAndEnd(Result::kNotPossible,
+    return ResumeAndEnd(Outcome::kNotPossible,
                         "commits of an instance that has left may be missing");
   Promote();
 }
@@ -445,7 +445,8 @@
     if (answered && Find(m_candidate)->status->received >= NewestReceived())
       return PromoteIfComplete();
     if (!answered || m_context.timers.now() >= m_wait_until) {
-      return ResumeAndEnd(Result::kFailed, "the new primary has not caught up");
+      return ResumeAndEnd(Outcome::kFailed,
+                          "the new primary has not caught up");
     }
     m_context.timers.After(
         kPollInterval, [self = shared_from_this()] { self->AwaitCandidate(); });
@@ -484,7 +485,7 @@
                   });
 }
 
-void PrimaryChange::PromoteAnswered(jackdawturn::Result<void> result) {
+void PrimaryChange::PromoteAnswered(Result<void> result) {
   if (result) {
     m_wait_until = m_context.timers.now() + kLeadTime;
     return AwaitLead();
@@ -494,13 +495,13 @@
     // A newer holder is at work or the instance has stopped. An earlier call
     // that was not answered may still take effect, so nothing is resumed then.
     if (m_promote_calls == 1)
-      return ResumeAndEnd(Result::kFailed, result.error().message);
-    return End(Result::kFailed, result.error().message);
+      return ResumeAndEnd(Outcome::kFailed, result.error().message);
+    return End(Outcome::kFailed, result.error().message);
   }
   if (m_promote_calls < kPromoteCalls &&
       m_context.timers.now() < m_claimed_at + kClaimTime)
     return Promote();
-  End(Result::kFailed, "the promotion was not answered");
+  End(Outcome::kFailed, "the promotion was not answered");
 }
 
 void PrimaryChange::AwaitLead() {
@@ -511,11 +512,11 @@
       m_context.directory.MarkPromoted(m_options.group, m_candidate);
       m_context.watch.Forget(m_candidate);
       // Replicas that the promotion has not resumed would stay behind.
-      return ResumeAndEnd(Result::kPromoted, "");
+      return ResumeAndEnd(Outcome::kPromoted, "");
     }
     if (m_context.timers.now() >= m_wait_until) {
       Release();
-      return End(Result::kFailed, "the promoted instance does not lead yet");
+      return End(Outcome::kFailed, "the promoted instance does not lead yet");
     }
     m_context.timers.After(kPollInterval,
                            [self = shared_from_this()] { self->AwaitLead(); });
@@ -532,11 +533,11 @@
       });
 }
 
-void PrimaryChange::ResumeAndEnd(Result result, const std::string& why) {
+void PrimaryChange::ResumeAndEnd(Outcome outcome, const std::string& why) {
   if (m_context.timers.now() >= m_claimed_at + kResumeTime) {
     Log("not_resumed", {});
     Release();
-    return End(result, why);
+    return End(outcome, why);
   }
   std::vector<Member*> paused;
   for (auto& [id, member] : m_members) {
@@ -544,17 +545,17 @@
       paused.push_back(&member);
   }
   CommandAll(paused, CommandKind::kResume,
-             [self = shared_from_this(), result, why] {
+             [self = shared_from_this(), outcome, why] {
                self->Release();
-               self->End(result, why);
+               self->End(outcome, why);
              });
 }
 
-void PrimaryChange::End(Result result, const std::string& why) {
-  Log(result == Result::kPromoted ? "promoted" : "ended", {{"why", why}});
+void PrimaryChange::End(Outcome outcome, const std::string& why) {
+  Log(outcome == Outcome::kPromoted ? "promoted" : "ended", {{"why", why}});
   ReturnConnections();
   if (const OnEnd on_end = std::exchange(m_on_end, nullptr))
-    on_end(result);
+    on_end(outcome);
 }
 
 std::vector<MemberStatus> PrimaryChange::Replicas() const {
--- a/libraries/gateway/primary_change.h
+++ b/libraries/gateway/primary_change.h
@@ -55,14 +55,14 @@
   };
 
   // How a change ended.
-  enum class Result {
+  enum class Outcome {
     kPromoted,
     kFalseAlarm,   // The old primary leads and answers.
     kOtherHolder,  // Another proxy is at work.
     kNotPossible,  // A replica that may have acknowledged commits is missing.
     kFailed,
   };
-  using OnEnd = std::function<void(Result result)>;
+  using OnEnd = std::function<void(Outcome outcome)>;
 
   static std::shared_ptr<PrimaryChange> Create(GatewayContext& context,
                                                Ports ports,
@@ -88,9 +88,8 @@
                 OnEnd on_end);
 
   void ProbeMembers();
-  void MemberOpened(
-      const InstanceName& id,
-      jackdawturn::Result<std::unique_ptr<BackendSession>> opened);
+  void MemberOpened(const InstanceName& id,
+                    Result<std::unique_ptr<BackendSession>> opened);
   // Sends a command to a member and stores the status that it answers with.
   void Command(Member& member,
                BackendCommand::Kind kind,
@@ -114,9 +113,9 @@
   // What was learned before the claim may date from before another change.
   void ProbedAgain();
   void ReadClaim();
-  void ClaimRead(jackdawturn::Result<StoredRecord> record);
+  void ClaimRead(Result<StoredRecord> record);
   void WriteClaim(uint64_t expected);
-  void ClaimWritten(jackdawturn::Result<StoredRecord> record);
+  void ClaimWritten(Result<StoredRecord> record);
   void ReadBackClaim();
   void Claimed(uint64_t revision);
   void LogStatuses(const std::string& step) const;
@@ -129,11 +128,11 @@
   bool CoversDepartures();
   void PromoteIfComplete();
   void Promote();
-  void PromoteAnswered(jackdawturn::Result<void> result);
+  void PromoteAnswered(Result<void> result);
   void AwaitLead();
   void Release();
-  void ResumeAndEnd(Result result, const std::string& why);
-  void End(Result result, const std::string& why);
+  void ResumeAndEnd(Outcome outcome, const std::string& why);
+  void End(Outcome outcome, const std::string& why);
   void Log(const std::string& step, GatewayLog::Fields fields) const;
   std::vector<MemberStatus> Replicas() const;
   Member* Find(const InstanceName& id);
--- a/tests/gateway/primary_change_test.cc
+++ b/tests/gateway/primary_change_test.cc
@@ -27,10 +27,10 @@
          .old_primary = InstanceName("p"),
          .holder = VmName(holder),
          .attempt = holder},
-        [this](PrimaryChange::Result result) { results.push_back(result); });
+        [this](PrimaryChange::Outcome result) { results.push_back(result); });
   }
 
-  std::vector<PrimaryChange::Result> results;
+  std::vector<PrimaryChange::Outcome> results;
 };
 
 }  // namespace
@@ -64,7 +64,7 @@
   change->Start();
   rig.timers.Advance(2s);
   cr_assert_eq(rig.results.size(), 1U);
-  cr_assert_eq(rig.results.front(), PrimaryChange::Result::kPromoted);
+  cr_assert_eq(rig.results.front(), PrimaryChange::Outcome::kPromoted);
   cr_assert_eq(rig.group.promotions.size(), 1U);
   cr_assert_str_eq(rig.group.promotions.front().first.value().c_str(),
                    row.promoted);
@@ -78,7 +78,7 @@
   const auto change = rig.Begin(Kind::kFailure, "one");
   change->Start();
   rig.timers.Advance(2s);
-  cr_assert_eq(rig.results.front(), PrimaryChange::Result::kNotPossible);
+  cr_assert_eq(rig.results.front(), PrimaryChange::Outcome::kNotPossible);
   cr_assert(rig.group.promotions.empty());
   cr_assert_eq(rig.group.At("a").paused_term, 0U);
 }
@@ -110,7 +110,7 @@
   const auto change = rig.Begin(Kind::kPlanned, "one");
   change->Start();
   rig.timers.Advance(2s);
-  cr_assert_eq(rig.results.front(), PrimaryChange::Result::kPromoted);
+  cr_assert_eq(rig.results.front(), PrimaryChange::Outcome::kPromoted);
   cr_assert_eq(paused.size(), 2U);
   cr_assert(!paused[0] && paused[1]);
 }
@@ -176,7 +176,7 @@
   const auto change = rig.Begin(Kind::kFailure, "one");
   change->Start();
   rig.timers.Advance(2s);
-  cr_assert_eq(rig.results.front(), PrimaryChange::Result::kPromoted);
+  cr_assert_eq(rig.results.front(), PrimaryChange::Outcome::kPromoted);
 }
 
 // An instance at its limit of connections must not block the change when this
@@ -192,7 +192,7 @@
   const auto change = rig.Begin(Kind::kFailure, "one");
   change->Start();
   rig.timers.Advance(2s);
-  cr_assert_eq(rig.results.front(), PrimaryChange::Result::kPromoted);
+  cr_assert_eq(rig.results.front(), PrimaryChange::Outcome::kPromoted);
 }
 
 // A primary that can be reached is left alone, also when it is at its limit of
@@ -205,7 +205,7 @@
   const auto change = rig.Begin(Kind::kFailure, "one");
   change->Start();
   rig.timers.Advance(2s);
-  cr_assert_eq(rig.results.front(), PrimaryChange::Result::kFalseAlarm);
+  cr_assert_eq(rig.results.front(), PrimaryChange::Outcome::kFalseAlarm);
   cr_assert(rig.group.promotions.empty());
 }
 
