--- a/libraries/gateway/primary_change.cc
+++ b/libraries/gateway/primary_change.cc
@@ -5,8 +5,6 @@
 #include <tuple>
 #include <utility>
 
-#include <boost/json.hpp>
-
 namespace jackdawturn::gateway {
 
 namespace {
@@ -17,42 +15,16 @@
 constexpr uint64_t kMostImportant = 0;
 constexpr Duration kOpenTimeout = 350ms;
 constexpr Duration kCommandTimeout = 400ms;
-constexpr Duration kStoreTimeout = 800ms;
 constexpr Duration kPromoteTimeout = 1'500ms;
 constexpr unsigned kPromoteCalls = 4;
 // Between two questions whether a replica has caught up or leads.
 constexpr Duration kPollInterval = 30ms;
 constexpr Duration kCatchUpTime = 800ms;
 constexpr Duration kLeadTime = 3s;
-// A claim without an end gives way after this time. Its holder does not resume
-// replicas later than kResumeTime, because another holder may have paused them.
-constexpr Duration kClaimTime = 4s;
+// The holder of a claim resumes no replica later than this, because another
+// holder may have paused it by then.
 constexpr Duration kResumeTime = 3s;
 
-// The record of a group in RecordCollection::kPrimaryChanges.
-struct Claim {
-  std::string holder;
-  std::string attempt;
-  bool ended = false;
-};
-
-std::string EncodeClaim(const Claim& claim) {
-  return boost::json::serialize(boost::json::object{{"holder", claim.holder},
-                                                    {"attempt", claim.attempt},
-                                                    {"ended", claim.ended}});
-}
-
-Result<Claim> DecodeClaim(const std::string& body) {
-  constexpr const char* kStep = "change.claim";
-  TRY(const boost::json::value value, ParseJson(body, kStep));
-  TRY(const JsonFields fields, JsonFields::Create(value, kStep));
-  Claim claim;
-  TRY(claim.holder, fields.String("holder"));
-  TRY(claim.attempt, fields.String("attempt"));
-  TRY(claim.ended, fields.Boolean("ended"));
-  return claim;
-}
-
 }  // namespace
 
 std::optional<InstanceName> ChooseNewPrimary(
@@ -280,65 +252,6 @@
   ReadClaim();
 }
 
-void PrimaryChange::ReadClaim() {
-  m_ports.store.Read(RecordCollection::kPrimaryChanges, m_options.group.value(),
-                     kStoreTimeout, [self = shared_from_this()](auto record) {
-                       self->ClaimRead(std::move(record));
-                     });
-}
-
-void PrimaryChange::ClaimRead(Result<StoredRecord> record) {
-  if (!record) {
-    if (record.error().code == ErrorCode::kNotFound)
-      return WriteClaim(0);
-    return End(Outcome::kFailed, record.error().message);
-  }
-  const auto claim = DecodeClaim(record.value().body);
-  if (!claim)
-    Log("bad_claim", {{"error", claim.error().message}});
-  // The age of a claim is taken on this proxy's clock, from when it was first
-  // seen.
-  auto& seen = m_context.claims[m_options.group];
-  if (seen.revision != record.value().revision)
-    seen = {record.value().revision, m_context.timers.now()};
-  const bool active = claim && !claim.value().ended;
-  if (active && m_context.timers.now() < seen.first_seen + kClaimTime)
-    return End(Outcome::kOtherHolder, claim.value().holder);
-  WriteClaim(record.value().revision);
-}
-
-void PrimaryChange::WriteClaim(uint64_t expected) {
-  m_ports.store.Update(
-      RecordCollection::kPrimaryChanges, m_options.group.value(), expected,
-      EncodeClaim({m_options.holder.value(), m_options.attempt, false}),
-      kStoreTimeout, [self = shared_from_this()](auto record) {
-        self->ClaimWritten(std::move(record));
-      });
-}
-
-void PrimaryChange::ClaimWritten(Result<StoredRecord> record) {
-  if (record)
-    return Claimed(record.value().revision);
-  if (record.error().code == ErrorCode::kTimeout)
-    return ReadBackClaim();
-  if (record.error().code == ErrorCode::kConflict)
-    return End(Outcome::kOtherHolder, "the claim was lost");
-  End(Outcome::kFailed, record.error().message);
-}
-
-void PrimaryChange::ReadBackClaim() {
-  m_ports.store.Read(
-      RecordCollection::kPrimaryChanges, m_options.group.value(), kStoreTimeout,
-      [self = shared_from_this()](auto record) {
-        if (!record)
-          return self->End(Outcome::kFailed, record.error().message);
-        const auto claim = DecodeClaim(record.value().body);
-        if (!claim || claim.value().attempt != self->m_options.attempt)
-          return self->End(Outcome::kOtherHolder, "the claim was lost");
-        self->Claimed(record.value().revision);
-      });
-}
-
 void PrimaryChange::Claimed(uint64_t revision) {
   m_token = revision;
   m_claimed_at = m_context.timers.now();
@@ -523,16 +436,6 @@
   });
 }
 
-void PrimaryChange::Release() {
-  m_ports.store.Update(
-      RecordCollection::kPrimaryChanges, m_options.group.value(), m_token,
-      EncodeClaim({m_options.holder.value(), m_options.attempt, true}),
-      kStoreTimeout, [self = shared_from_this()](auto record) {
-        if (!record)
-          self->Log("release_failed", {{"error", record.error().message}});
-      });
-}
-
 void PrimaryChange::ResumeAndEnd(Outcome outcome, const std::string& why) {
   if (m_context.timers.now() >= m_claimed_at + kResumeTime) {
     Log("not_resumed", {});
--- a/libraries/gateway/primary_change.h
+++ b/libraries/gateway/primary_change.h
@@ -34,6 +34,9 @@
 // Thread safety: not thread-safe.
 class PrimaryChange : public std::enable_shared_from_this<PrimaryChange> {
  public:
+  // A claim without an end gives way after this time.
+  static constexpr Duration kClaimTime = std::chrono::seconds(4);
+
   enum class Kind { kPlanned, kFailure };
 
   struct Ports {
