Gateway, Platform: Remove dead code and repetition found in the review

Cause: the whole change was read again. Three methods and two counters had no caller; the isolation of a zone was kept twice, and found by walking every instance once for each group ten times a second; each statement looked up its two metrics by their labels under the registry's lock; records of the store were copied before they were decoded; the lead of the chosen instance, the route of a session, its own commit, the probe of an instance, the check that all replicas answered, the check of a status and the text of a position were each written two or three times. Change: one piece of code for each.

--- a/libraries/gateway/backend_pool.cc
+++ b/libraries/gateway/backend_pool.cc
@@ -131,7 +131,6 @@
   Target& target = found->second;
   --target.opening;
   if (session) {
-    ++m_opened;
     target.unreachable_until.reset();
     target.full_until.reset();
     auto connection = std::make_unique<PooledConnection>();
@@ -139,7 +138,6 @@
     connection->session = std::move(session.value());
     return Offer(target, std::move(connection));
   }
-  ++m_refused;
   if (session.error().code == ErrorCode::kExhausted) {
     target.full_until = m_timers.now() + m_options.full_time;
     return RetryWhenNotFull(target);
@@ -251,15 +249,6 @@
          m_timers.now() < *found->second.unreachable_until;
 }
 
-void BackendPool::MarkSilent(const InstanceName& id) {
-  const auto found = m_targets.find(id);
-  if (found == m_targets.end())
-    return;
-  // Idle connections may have fallen silent with it.
-  found->second.idle.clear();
-  found->second.unreachable_until = m_timers.now() + m_options.unreachable_time;
-}
-
 size_t BackendPool::connections() const {
   size_t count = 0;
   for (const auto& [id, target] : m_targets)
--- a/libraries/gateway/backend_pool.h
+++ b/libraries/gateway/backend_pool.h
@@ -71,10 +71,7 @@
   size_t Outstanding(const InstanceName& id) const;
   // The instance failed to open a connection or fell silent lately.
   bool Unreachable(const InstanceName& id) const;
-  void MarkSilent(const InstanceName& id);
   size_t connections() const;
-  uint64_t opened() const { return m_opened; }
-  uint64_t refused() const { return m_refused; }
 
  private:
   struct Waiter {
@@ -118,8 +115,6 @@
   // Hooks that outlive the pool find it gone.
   std::shared_ptr<BackendPool*> m_self;
   uint64_t m_next_waiter = 1;
-  uint64_t m_opened = 0;
-  uint64_t m_refused = 0;
 };
 
 }  // namespace jackdawturn::gateway
--- a/libraries/gateway/client_session.cc
+++ b/libraries/gateway/client_session.cc
@@ -31,6 +31,17 @@
   return !m_busy && !m_transaction;
 }
 
+const Route* ClientSession::FindRoute() const {
+  return m_context.deployment ? m_context.deployment->FindRoute(m_database)
+                              : nullptr;
+}
+
+void ClientSession::NoteOwnCommit(const ClientReply& reply) {
+  if (reply.position)
+    m_own_commit =
+        std::max(m_own_commit.value_or(CommitPosition{}), *reply.position);
+}
+
 void ClientSession::Start(const ClientStatement& statement) {
   if (m_transaction)
     m_context.timers.Cancel(m_transaction->idle_timer);
@@ -79,9 +90,7 @@
 void ClientSession::Begin(const ClientStatement& statement) {
   if (m_transaction)
     return Fail(ReplyCode::kMalformed, "a transaction is already open");
-  const Route* route = m_context.deployment
-                           ? m_context.deployment->FindRoute(m_database)
-                           : nullptr;
+  const Route* route = FindRoute();
   if (!route)
     return Fail(ReplyCode::kNoDatabase, "no such database");
   m_transaction.emplace();
@@ -117,9 +126,7 @@
   } else {
     if (statement.kind == Kind::kCommit)
       return Fail(ReplyCode::kMalformed, "no transaction is open");
-    const Route* route = m_context.deployment
-                             ? m_context.deployment->FindRoute(m_database)
-                             : nullptr;
+    const Route* route = FindRoute();
     if (!route)
       return Fail(ReplyCode::kNoDatabase, "no such database");
     input.route = *route;
@@ -153,13 +160,12 @@
                         StatementRun::Outcome outcome) {
   m_run.reset();
   const bool done = outcome.reply.code == ReplyCode::kDone;
-  m_context.log.RecordStatement(ToString(outcome.reply.code),
+  m_context.log.RecordStatement(outcome.reply.code,
                                 m_context.timers.now() - m_started);
   if (m_transaction) {
     SettleTransaction(statement, wrote, outcome);
-  } else if (done && wrote && outcome.reply.position) {
-    m_own_commit = std::max(m_own_commit.value_or(CommitPosition{}),
-                            *outcome.reply.position);
+  } else if (done && wrote) {
+    NoteOwnCommit(outcome.reply);
   }
   if (!done) {
     m_context.log.Request(statement.id, GroupName(), "failed", "",
@@ -177,10 +183,8 @@
   transaction.wrote = transaction.wrote || wrote;
   transaction.connection = std::move(outcome.connection);
   if (statement.kind == Kind::kCommit) {
-    if (outcome.reply.code == ReplyCode::kDone && transaction.wrote &&
-        outcome.reply.position)
-      m_own_commit = std::max(m_own_commit.value_or(CommitPosition{}),
-                              *outcome.reply.position);
+    if (outcome.reply.code == ReplyCode::kDone && transaction.wrote)
+      NoteOwnCommit(outcome.reply);
     RollBack();
     return;
   }
--- a/libraries/gateway/client_session.h
+++ b/libraries/gateway/client_session.h
@@ -50,6 +50,9 @@
         m_database(std::move(database)),
         m_on_reply(std::move(on_reply)) {}
 
+  // Returns the route in force, or null.
+  const Route* FindRoute() const;
+  void NoteOwnCommit(const ClientReply& reply);
   void Start(const ClientStatement& statement);
   void StartInFailedTransaction(const ClientStatement& statement);
   void Begin(const ClientStatement& statement);
--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -42,8 +42,9 @@
   std::map<GroupName, SeenClaim> claims;
   PrimaryWatch watch;
   ZoneReach reach;
-  // No instance of another zone can be reached.
-  bool isolated = false;
+  // Since when no instance of another zone can be reached; nothing while one
+  // can.
+  std::optional<TimePoint> isolated_since;
   // When an instance last left its group with its log. Before this proxy
   // started, one may have left at any time.
   std::map<GroupName, TimePoint> departures;
--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -62,7 +62,7 @@
 
 bool GatewayHost::ready() const {
   return m_context.deployment && m_servers_known && !m_draining &&
-         !m_isolated_since;
+         !m_context.isolated_since;
 }
 
 void GatewayHost::Drain() {
@@ -115,12 +115,8 @@
 void GatewayHost::ServersListed(const RecordList& list) {
   std::vector<BackendServer> servers;
   for (const StoredRecord& record : list.records) {
-    auto server = m_ports.decode_server(record);
-    if (server)
-      servers.push_back(std::move(server.value()));
-    else
-      m_log.Belief(EventKind::kMembership, GroupName(), "bad_entry",
-                   record.name, {{"error", server.error().message}});
+    if (auto server = DecodeServer(record))
+      servers.push_back(std::move(*server));
   }
   m_directory.Replace(servers, m_ports.timers.now());
   m_servers_known = true;
@@ -142,13 +138,18 @@
       ForgetServer(group, id);
     return;
   }
-  const auto server = m_ports.decode_server(change.record);
-  if (!server) {
-    m_log.Belief(EventKind::kMembership, GroupName(), "bad_entry",
-                 change.record.name, {{"error", server.error().message}});
-    return;
-  }
-  UpdateServer(server.value());
+  if (const auto server = DecodeServer(change.record))
+    UpdateServer(*server);
+}
+
+std::optional<BackendServer> GatewayHost::DecodeServer(
+    const StoredRecord& record) {
+  auto server = m_ports.decode_server(record);
+  if (server)
+    return std::move(server.value());
+  m_log.Belief(EventKind::kMembership, GroupName(), "bad_entry", record.name,
+               {{"error", server.error().message}});
+  return std::nullopt;
 }
 
 void GatewayHost::UpdateServer(const BackendServer& server) {
@@ -168,7 +169,7 @@
     m_context.watch.Forget(server.id);
     m_context.departures[server.group] = m_ports.timers.now();
   }
-  m_directory.Update(server, m_ports.timers.now());
+  m_directory.Update(server);
 }
 
 void GatewayHost::ForgetServer(const GroupName& group, const InstanceName& id) {
@@ -203,18 +204,11 @@
 
 void GatewayHost::CheckIsolation() {
   const TimePoint now = m_ports.timers.now();
-  std::vector<InstanceName> remote;
-  for (const GroupName& group : m_directory.Groups()) {
-    for (const BackendServer* server : m_directory.All(group)) {
-      if (server->zone != m_options.zone)
-        remote.push_back(server->id);
-    }
-  }
+  const auto remote = m_directory.OutsideZone(m_options.zone);
   const bool isolated = m_context.reach.Isolated(remote, now);
-  m_context.isolated = isolated;
-  if (isolated == m_isolated_since.has_value())
+  if (isolated == m_context.isolated_since.has_value())
     return;
-  m_isolated_since = isolated ? std::optional(now) : std::nullopt;
+  m_context.isolated_since = isolated ? std::optional(now) : std::nullopt;
   m_log.Belief(EventKind::kMembership, GroupName(),
                isolated ? "zone_isolated" : "zone_connected",
                m_options.zone.value(),
@@ -286,21 +280,21 @@
   state.change = PrimaryChange::Create(
       m_context,
       {m_ports.store, m_ports.promote, m_ports.open, m_ports.read_status},
-      std::move(options), [this, group](PrimaryChange::Outcome result) {
-        ChangeEnded(group, result);
+      std::move(options), [this, group](PrimaryChange::Outcome outcome) {
+        ChangeEnded(group, outcome);
       });
   state.change->Start();
 }
 
 void GatewayHost::ChangeEnded(const GroupName& group,
-                              PrimaryChange::Outcome result) {
+                              PrimaryChange::Outcome outcome) {
   GroupState& state = m_groups[group];
-  const bool other = result == PrimaryChange::Outcome::kOtherHolder;
+  const bool other = outcome == PrimaryChange::Outcome::kOtherHolder;
   state.next_change = m_ports.timers.now() +
                       (other ? kRetryAfterOther : kRetryAfterFailure) +
                       Jitter(kStartSpread);
   state.reason_since.reset();
-  if (result == PrimaryChange::Outcome::kFalseAlarm) {
+  if (outcome == PrimaryChange::Outcome::kFalseAlarm) {
     if (const BackendServer* primary = m_directory.Primary(group))
       m_context.watch.Forget(primary->id);
   }
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -47,8 +47,6 @@
   // The configuration and the instances are known, instances of other zones can
   // be reached, and no drain has begun.
   bool ready() const;
-  // When this proxy was cut off from the other zones; nothing while it is not.
-  std::optional<TimePoint> isolated_since() const { return m_isolated_since; }
   // Reports not ready from now on.
   void Drain();
 
@@ -85,6 +83,8 @@
   void ConfigurationChanged(const StoredRecord& record);
   void ServersListed(const RecordList& list);
   void ServerChanged(const RecordChange& change);
+  // Returns nothing, with a log line, for an entry that is not understood.
+  std::optional<BackendServer> DecodeServer(const StoredRecord& record);
   void UpdateServer(const BackendServer& server);
   // Drops what is known of an instance that has left.
   void ForgetServer(const GroupName& group, const InstanceName& id);
@@ -95,7 +95,7 @@
   void NotePrimary(const GroupName& group, GroupState& state);
   std::optional<ChangeReason> FindReason(const GroupName& group) const;
   void StartChange(const GroupName& group, const ChangeReason& reason);
-  void ChangeEnded(const GroupName& group, PrimaryChange::Outcome result);
+  void ChangeEnded(const GroupName& group, PrimaryChange::Outcome outcome);
   Duration Jitter(Duration longest);
 
   const Options m_options;
@@ -110,7 +110,6 @@
   // What waits for the first configuration.
   std::vector<std::function<void()>> m_awaiting_configuration;
   std::mt19937_64 m_random;
-  std::optional<TimePoint> m_isolated_since;
   uint64_t m_attempts = 0;
   uint64_t m_ticks = 0;
   bool m_servers_known = false;
--- a/libraries/gateway/gateway_log.cc
+++ b/libraries/gateway/gateway_log.cc
@@ -39,16 +39,19 @@
          .fields = std::move(fields)});
 }
 
-void GatewayLog::RecordStatement(std::string_view code, Duration latency) {
-  const MetricLabels labels = {{"code", std::string(code)}};
-  m_metrics
-      .FindCounter("jackdawturn_statements_total",
-                   "Statements of clients by their outcome.", labels)
-      .Add();
-  m_metrics
-      .FindLatency("jackdawturn_statement_seconds",
-                   "From a statement's arrival to its answer.", labels)
-      .Record(latency);
+void GatewayLog::RecordStatement(ReplyCode code, Duration latency) {
+  StatementSeries& series = m_statements[code];
+  if (!series.count) {
+    const MetricLabels labels = {{"code", std::string(ToString(code))}};
+    series.count = &m_metrics.FindCounter(
+        "jackdawturn_statements_total",
+        "Statements of clients by their outcome.", labels);
+    series.latency = &m_metrics.FindLatency(
+        "jackdawturn_statement_seconds",
+        "From a statement's arrival to its answer.", labels);
+  }
+  series.count->Add();
+  series.latency->Record(latency);
 }
 
 void GatewayLog::Write(TimelineEvent event) {
--- a/libraries/gateway/gateway_log.h
+++ b/libraries/gateway/gateway_log.h
@@ -3,15 +3,15 @@
 #include <chrono>
 #include <map>
 #include <string>
-#include <string_view>
 
 #include "core/core.h"
+#include "gateway/gateway_types.h"
 #include "observe/observe.h"
 
 namespace jackdawturn::gateway {
 
-// Writes the decisions of a gateway to its log and counts them. Thread safety:
-// as EventLog and MetricRegistry, which outlive this.
+// Writes the decisions of a gateway to its log and counts them. The log and the
+// registry outlive this. Thread safety: not thread-safe.
 class GatewayLog {
  public:
   using Fields = std::map<std::string, std::string>;
@@ -34,15 +34,22 @@
 
   // Counts a statement that an instance was asked for, and its latency.
   // Precondition: `latency` is not negative.
-  void RecordStatement(std::string_view code, Duration latency);
+  void RecordStatement(ReplyCode code, Duration latency);
 
  private:
+  // The series of one outcome, which every statement would look up otherwise.
+  struct StatementSeries {
+    MetricCounter* count = nullptr;
+    LatencyQuantiles* latency = nullptr;
+  };
+
   void Write(TimelineEvent event);
 
   EventLog* const m_log;
   MetricRegistry& m_metrics;
   const VmName m_vm;
   HybridLogicalClock m_clock;
+  std::map<ReplyCode, StatementSeries> m_statements;
 };
 
 }  // namespace jackdawturn::gateway
--- a/libraries/gateway/gateway_types.cc
+++ b/libraries/gateway/gateway_types.cc
@@ -2,6 +2,10 @@
 
 namespace jackdawturn::gateway {
 
+std::string ToString(const CommitPosition& position) {
+  return std::to_string(position.term) + "." + std::to_string(position.number);
+}
+
 std::string_view ToString(ReplyCode code) {
   switch (code) {
     case ReplyCode::kDone:
--- a/libraries/gateway/gateway_types.h
+++ b/libraries/gateway/gateway_types.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <ostream>
 #include <string>
 #include <vector>
 
@@ -20,12 +19,11 @@
 
   friend auto operator<=>(const CommitPosition&,
                           const CommitPosition&) = default;
-  friend std::ostream& operator<<(std::ostream& out,
-                                  const CommitPosition& position) {
-    return out << position.term << '.' << position.number;
-  }
 };
 
+// Returns the text used in logs, for example "3.1207". Thread-safe.
+std::string ToString(const CommitPosition& position);
+
 // Which commits a read must see.
 enum class ReadFreshness {
   kPrimary,           // Every commit that was acknowledged before it.
--- a/libraries/gateway/primary_change.cc
+++ b/libraries/gateway/primary_change.cc
@@ -1,7 +1,6 @@
 #include "gateway/primary_change.h"
 
 #include <algorithm>
-#include <sstream>
 #include <tuple>
 #include <utility>
 
@@ -95,11 +94,13 @@
   if (!opened) {
     Log("unreachable",
         {{"instance", id.value()}, {"error", opened.error().message}});
-    if (--m_awaited == 0)
-      Probed();
-    return;
+  } else {
+    member.session = std::move(opened.value());
   }
-  member.session = std::move(opened.value());
+  Probe(member);
+}
+
+void PrimaryChange::Probe(Member& member) {
   Command(member, CommandKind::kStatus, [this](bool) {
     if (--m_awaited == 0)
       Probed();
@@ -107,20 +108,17 @@
 }
 
 void PrimaryChange::BorrowConnection(Member& member) {
-  m_context.pool.Acquire(
-      member.server, kMostImportant, kOpenTimeout,
-      [self = shared_from_this(), &member](auto connection) {
-        if (connection) {
-          member.pooled = std::move(connection.value());
-        } else {
-          self->Log("unreachable", {{"instance", member.server.id.value()},
-                                    {"error", connection.error().message}});
-        }
-        self->Command(member, CommandKind::kStatus, [self](bool) {
-          if (--self->m_awaited == 0)
-            self->Probed();
-        });
-      });
+  m_context.pool.Acquire(member.server, kMostImportant, kOpenTimeout,
+                         [self = shared_from_this(), &member](auto connection) {
+                           if (connection) {
+                             member.pooled = std::move(connection.value());
+                           } else {
+                             self->Log("unreachable",
+                                       {{"instance", member.server.id.value()},
+                                        {"error", connection.error().message}});
+                           }
+                           self->Probe(member);
+                         });
 }
 
 void PrimaryChange::ReturnConnections() {
@@ -232,6 +230,13 @@
   return !status || status->role == ReplicationRole::kPrimary;
 }
 
+bool PrimaryChange::ReplicasAnswered() const {
+  return std::all_of(
+      m_members.begin(), m_members.end(), [&](const auto& entry) {
+        return is_old_primary(entry.second) || entry.second.status;
+      });
+}
+
 void PrimaryChange::Probed() {
   const bool stalled = m_options.reason == ToString(SuspicionReason::kStalled);
   if (LeaderHasChanged())
@@ -243,10 +248,8 @@
   // A primary that does not answer cannot help its successor to catch up.
   if (!leader)
     m_kind = Kind::kFailure;
-  for (const auto& [id, member] : m_members) {
-    if (!is_old_primary(member) && !member.status)
-      return End(Outcome::kNotPossible, "a replica does not answer");
-  }
+  if (!ReplicasAnswered())
+    return End(Outcome::kNotPossible, "a replica does not answer");
   if (Replicas().empty())
     return End(Outcome::kNotPossible, "no replica is known");
   ReadClaim();
@@ -266,11 +269,9 @@
     Release();
     return End(Outcome::kFalseAlarm, "another instance leads by now");
   }
-  for (const auto& [id, member] : m_members) {
-    if (!is_old_primary(member) && !member.status) {
-      Release();
-      return End(Outcome::kNotPossible, "a replica does not answer any more");
-    }
+  if (!ReplicasAnswered()) {
+    Release();
+    return End(Outcome::kNotPossible, "a replica does not answer any more");
   }
   PauseReplicas();
 }
@@ -279,14 +280,12 @@
   for (const auto& [id, member] : m_members) {
     if (!member.status)
       continue;
-    std::ostringstream received;
-    received << member.status->received;
     Log(step,
         {{"instance", id.value()},
          {"role", member.status->role == ReplicationRole::kPrimary ? "primary"
                                                                    : "replica"},
          {"term", std::to_string(member.status->term)},
-         {"received", received.str()},
+         {"received", ToString(member.status->received)},
          {"paused_term", std::to_string(member.status->paused_term)}});
   }
 }
--- a/libraries/gateway/primary_change.h
+++ b/libraries/gateway/primary_change.h
@@ -100,6 +100,9 @@
   // Takes a connection of the pool for a member that accepts no new one.
   void BorrowConnection(Member& member);
   void ReturnConnections();
+  // Asks a member for its status; the last answer leads to Probed.
+  void Probe(Member& member);
+  bool ReplicasAnswered() const;
   // Sends a command to all members that are connected; `then` runs when each
   // has answered or failed.
   void CommandAll(const std::vector<Member*>& members,
--- a/libraries/gateway/server_directory.cc
+++ b/libraries/gateway/server_directory.cc
@@ -4,7 +4,7 @@
 
 namespace jackdawturn::gateway {
 
-void ServerDirectory::Update(const BackendServer& server, TimePoint) {
+void ServerDirectory::Update(const BackendServer& server) {
   auto [found, added] = m_entries.try_emplace(server.id);
   Entry& entry = found->second;
   if (!added && server.revision < entry.server.revision)
@@ -41,7 +41,7 @@
   std::set<InstanceName> listed;
   for (const BackendServer& server : servers) {
     listed.insert(server.id);
-    Update(server, now);
+    Update(server);
   }
   std::vector<InstanceName> missing;
   for (const auto& [id, entry] : m_entries) {
@@ -120,16 +120,19 @@
   return servers;
 }
 
+std::vector<InstanceName> ServerDirectory::OutsideZone(
+    const ZoneName& zone) const {
+  std::vector<InstanceName> instances;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.server.zone != zone)
+      instances.push_back(id);
+  }
+  return instances;
+}
+
 const BackendServer* ServerDirectory::Find(const InstanceName& id) const {
   const auto found = m_entries.find(id);
   return found == m_entries.end() ? nullptr : &found->second.server;
 }
 
-std::set<GroupName> ServerDirectory::Groups() const {
-  std::set<GroupName> groups;
-  for (const auto& [id, entry] : m_entries)
-    groups.insert(entry.server.group);
-  return groups;
-}
-
 }  // namespace jackdawturn::gateway
--- a/libraries/gateway/server_directory.h
+++ b/libraries/gateway/server_directory.h
@@ -18,7 +18,7 @@
   static constexpr Duration kReturnTime = std::chrono::milliseconds(2'600);
 
   // The registry describes an instance anew.
-  void Update(const BackendServer& server, TimePoint now);
+  void Update(const BackendServer& server);
 
   // The registry no longer lists the instance. Unless it was leaving, it is
   // kept for kReturnTime: its entry may have lapsed because of an outage of the
@@ -44,7 +44,8 @@
   // Returns all instances of the group, also those that leave.
   std::vector<const BackendServer*> All(const GroupName& group) const;
   const BackendServer* Find(const InstanceName& id) const;
-  std::set<GroupName> Groups() const;
+  // Returns the instances of all groups in other availability zones.
+  std::vector<InstanceName> OutsideZone(const ZoneName& zone) const;
 
  private:
   struct Entry {
--- a/libraries/gateway/statement_run.cc
+++ b/libraries/gateway/statement_run.cc
@@ -73,6 +73,12 @@
          m_input.route.freshness == ReadFreshness::kPrimary;
 }
 
+bool StatementRun::target_leads() const {
+  const BackendServer* primary =
+      m_context.directory.Primary(m_input.route.group);
+  return primary && primary->id == m_target;
+}
+
 bool StatementRun::repeatable() const {
   return !in_transaction() && !writes();
 }
@@ -103,7 +109,7 @@
   const BackendServer* server = ChooseServer();
   if (!server) {
     // The zone will not be connected again in time; another proxy may serve it.
-    if (m_context.isolated)
+    if (m_context.isolated_since)
       return Refuse("zone_isolated");
     m_avoided.clear();
     return PlaceAgain(kRetryDelay);
@@ -173,9 +179,7 @@
     m_instance_state = TransactionState::kNone;
     if (!m_on_done)
       return GiveBack();
-    const BackendServer* primary =
-        m_context.directory.Primary(m_input.route.group);
-    const bool leads = primary && primary->id == m_target;
+    const bool leads = target_leads();
     m_wrapped = !in_transaction() && !writes() && leads;
     // The instance may have become primary, or stopped being it, while the
     // statement waited.
@@ -216,15 +220,12 @@
 void StatementRun::BeginTransaction() {
   const bool read_only =
       m_input.transaction == Transaction::kReadOnly && m_required;
-  const BackendServer* primary =
-      m_context.directory.Primary(m_input.route.group);
-  const bool leads = primary && primary->id == m_target;
   auto commands =
       PrepareConnection(m_input.session, nullptr, m_connection->state);
   BackendCommand begin;
   // A plain transaction fails on an instance that has lost the lead.
-  begin.kind =
-      read_only && !leads ? CommandKind::kBeginRead : CommandKind::kBegin;
+  begin.kind = read_only && !target_leads() ? CommandKind::kBeginRead
+                                            : CommandKind::kBegin;
   if (begin.kind == CommandKind::kBeginRead)
     begin.after = m_required;
   commands.push_back(std::move(begin));
@@ -313,7 +314,6 @@
 void StatementRun::Silent() {
   // Replies that still come belong to an older batch and are ignored.
   ++m_batch;
-  const BackendServer server = m_connection->server;
   Log("silent", {{"after_us",
                   std::to_string((m_context.timers.now() - m_asked).count())}});
   m_context.watch.Lost(m_target, changes_data(), m_context.timers.now());
@@ -326,7 +326,7 @@
     m_context.timers.After(kAbandonedTime, [&pool = m_context.pool, kept] {
       pool.Discard(std::move(*kept));
     });
-    m_avoided.insert(server.id);
+    m_avoided.insert(m_target);
     return Place();
   }
   m_context.pool.Discard(std::move(m_connection));
@@ -350,14 +350,13 @@
 
 void StatementRun::Broken(const std::string& message) {
   ++m_batch;
-  const BackendServer server = m_connection->server;
   m_context.watch.Lost(m_target, changes_data(), m_context.timers.now());
   m_context.pool.Discard(std::move(m_connection));
   if (!m_on_done)
     return;
   Log("broken", {{"error", message}});
   if (repeatable()) {
-    m_avoided.insert(server.id);
+    m_avoided.insert(m_target);
     return PlaceAgain(Duration(0));
   }
   FinishUnanswered("the connection broke");
@@ -366,17 +365,16 @@
 void StatementRun::NotePosition(const BackendReply& reply) {
   if (!reply.position)
     return;
-  const BackendServer& server = m_connection->server;
-  const BackendServer* primary = m_context.directory.Primary(server.group);
   // Only an answer that an instance gives as leader tells where the log stands.
   const bool led =
       writes() || m_wrapped || m_input.transaction == Transaction::kReadWrite;
-  if (primary && primary->id == server.id) {
+  if (target_leads()) {
     if (led && !is_commit())
-      m_context.positions[server.group].Observe(m_asked, *reply.position);
+      m_context.positions[m_input.route.group].Observe(m_asked,
+                                                       *reply.position);
     return;
   }
-  auto& applied = m_context.progress[server.id].applied;
+  auto& applied = m_context.progress[m_target].applied;
   applied = applied ? std::max(*applied, *reply.position) : *reply.position;
 }
 
@@ -391,20 +389,13 @@
   answer.signature = reply.signature;
   answer.message = reply.message;
   answer.position = reply.position;
-  if (in_transaction() && reply.code == ReplyCode::kDone && !is_commit()) {
-    answer.state = TransactionState::kOpen;
+  const bool done = reply.code == ReplyCode::kDone;
+  if (in_transaction() && done && !is_commit())
     return Finish(std::move(answer));
-  }
-  if (in_transaction() && reply.code != ReplyCode::kDone) {
-    // The first statement can still move to another instance.
-    const bool first = m_attempts > 0 && !is_commit();
-    GiveBack();
-    if (first && TryAgain(reply))
-      return;
-    return Finish(std::move(answer));
-  }
+  // Of a transaction, only the first statement can move to another instance.
+  const bool movable = !in_transaction() || (m_attempts > 0 && !is_commit());
   GiveBack();
-  if (reply.code != ReplyCode::kDone && TryAgain(reply))
+  if (!done && movable && TryAgain(reply))
     return;
   Finish(std::move(answer));
 }
@@ -462,10 +453,8 @@
 void StatementRun::Log(const std::string& step, GatewayLog::Fields fields) {
   if (m_context.deployment)
     fields["config_version"] = std::to_string(m_context.deployment->version);
-  if (m_required) {
-    fields["required"] = std::to_string(m_required->term) + "." +
-                         std::to_string(m_required->number);
-  }
+  if (m_required)
+    fields["required"] = ToString(*m_required);
   fields["database"] = m_input.route.database;
   m_context.log.Request(m_input.statement.id, m_input.route.group, step,
                         m_target.value(), std::move(fields));
--- a/libraries/gateway/statement_run.h
+++ b/libraries/gateway/statement_run.h
@@ -60,6 +60,8 @@
   }
   bool writes() const;
   bool needs_primary() const;
+  // The chosen instance leads its group as far as is known.
+  bool target_leads() const;
   // The commands in progress change data when they succeed.
   bool changes_data() const;
   // Nothing is lost when this statement runs a second time or never.
--- a/programs/jackdawturn/gateway_command.cc
+++ b/programs/jackdawturn/gateway_command.cc
@@ -1,8 +1,6 @@
 #include <unistd.h>
 
 #include <csignal>
-#include <cstdlib>
-#include <iostream>
 #include <memory>
 #include <random>
 #include <string>
@@ -108,7 +106,7 @@
     m_timers.After(kIsolationCheck, [this] { WatchIsolation(); });
     if (m_draining)
       return;
-    const auto since = m_host.isolated_since();
+    const auto since = m_host.context().isolated_since;
     if (since && *since + kBalancerTime <= m_timers.now())
       m_listener->CloseIdleSessions();
     else
--- a/tests/gateway/decisions_test.cc
+++ b/tests/gateway/decisions_test.cc
@@ -156,8 +156,8 @@
   ServerDirectory directory;
   BackendServer leaving = ServerOf("b", ReplicationRole::kReplica, 2);
   leaving.draining = true;
-  directory.Update(ServerOf("a", ReplicationRole::kReplica, 1), kStart);
-  directory.Update(leaving, kStart);
+  directory.Update(ServerOf("a", ReplicationRole::kReplica, 1));
+  directory.Update(leaving);
   directory.Remove(InstanceName("a"), kStart);
   directory.Remove(InstanceName("b"), kStart);
   cr_expect_null(directory.Find(InstanceName("b")));
@@ -170,11 +170,11 @@
 // An old primary that cannot reach the store still claims its role there.
 Test(gateway_directory, newest_claim_of_the_role_leads) {
   ServerDirectory directory;
-  directory.Update(ServerOf("a", ReplicationRole::kPrimary, 1), kStart);
-  directory.Update(ServerOf("b", ReplicationRole::kReplica, 2), kStart);
-  directory.Update(ServerOf("b", ReplicationRole::kPrimary, 3), kStart);
+  directory.Update(ServerOf("a", ReplicationRole::kPrimary, 1));
+  directory.Update(ServerOf("b", ReplicationRole::kReplica, 2));
+  directory.Update(ServerOf("b", ReplicationRole::kPrimary, 3));
   // Another member of the old primary's entry changes.
-  directory.Update(ServerOf("a", ReplicationRole::kPrimary, 4), kStart);
+  directory.Update(ServerOf("a", ReplicationRole::kPrimary, 4));
   cr_expect_str_eq(directory.Primary(GroupName("loans"))->id.value().c_str(),
                    "b");
 }
--- a/tests/gateway/fake_group.h
+++ b/tests/gateway/fake_group.h
@@ -309,7 +309,7 @@
     }
     context.deployment = deployment;
     for (const char* id : {"p", "a", "b"})
-      directory.Update(group.At(id).server, timers.now());
+      directory.Update(group.At(id).server);
   }
 
   std::shared_ptr<ClientSession> Open(const std::string& database) {
--- a/tests/gateway/primary_change_test.cc
+++ b/tests/gateway/primary_change_test.cc
@@ -59,7 +59,7 @@
   rig.group.At("a").received.number = row.received_a;
   rig.group.At("b").received.number = row.received_b;
   rig.group.At("a").server.draining = row.a_drains;
-  rig.directory.Update(rig.group.At("a").server, rig.timers.now());
+  rig.directory.Update(rig.group.At("a").server);
   const auto change = rig.Begin(Kind::kFailure, "one");
   change->Start();
   rig.timers.Advance(2s);
--- a/tests/gateway/sessions_test.cc
+++ b/tests/gateway/sessions_test.cc
@@ -130,7 +130,7 @@
   BackendServer promoted = rig.group.At("a").server;
   promoted.role = ReplicationRole::kPrimary;
   promoted.revision = 2;
-  rig.directory.Update(promoted, rig.timers.now());
+  rig.directory.Update(promoted);
   rig.timers.Advance(100ms);
   cr_assert_eq(rig.replies.back().code, ReplyCode::kDone);
   cr_assert_eq(rig.group.At("a").ran.size(), 1U);
@@ -152,7 +152,7 @@
 Test(gateway_sessions, cut_off_zone_refuses_at_once) {
   GatewayRig rig;
   rig.directory.MarkDeposed(InstanceName("p"));
-  rig.context.isolated = true;
+  rig.context.isolated_since = rig.timers.now();
   const auto session = rig.Open("strict");
   session->Handle(Write());
   rig.timers.Advance(1ms);
