--- a/libraries/observe/event_log_queue.cc
+++ b/libraries/observe/event_log_queue.cc
@@ -1,6 +1,5 @@
 #include "observe/event_log_queue.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace jackdawturn {
@@ -19,39 +18,38 @@
 }
 
 void EventLogQueue::Push(TimelineEvent event) {
-  const LogImportance importance = ImportanceOf(event);
-  if (importance == LogImportance::kRoutine) {
-    if (m_routine >= m_capacity / 2 || m_events.size() >= m_capacity) {
+  if (ImportanceOf(event) == LogImportance::kRoutine) {
+    if (m_routine.size() >= m_capacity / 2 || size() >= m_capacity) {
       ++m_dropped.routine;
       return;
     }
-    ++m_routine;
-  } else if (m_events.size() >= m_capacity && !DropOldestRoutine()) {
+    m_routine.push_back({m_next_number++, std::move(event)});
+    return;
+  }
+  if (size() >= m_capacity && !DropOldestRoutine()) {
     ++m_dropped.failures;
     return;
   }
-  m_events.push_back({std::move(event), importance});
+  m_failures.push_back({m_next_number++, std::move(event)});
 }
 
 std::optional<TimelineEvent> EventLogQueue::Pop() {
-  if (m_events.empty())
+  if (size() == 0)
     return std::nullopt;
-  Item item = std::move(m_events.front());
-  m_events.pop_front();
-  if (item.importance == LogImportance::kRoutine)
-    --m_routine;
-  return std::move(item.event);
+  const bool routine_is_older =
+      m_failures.empty() ||
+      (!m_routine.empty() &&
+       m_routine.front().number < m_failures.front().number);
+  std::deque<Item>& queue = routine_is_older ? m_routine : m_failures;
+  TimelineEvent event = std::move(queue.front().event);
+  queue.pop_front();
+  return event;
 }
 
 bool EventLogQueue::DropOldestRoutine() {
-  if (m_routine == 0)
+  if (m_routine.empty())
     return false;
-  const auto oldest =
-      std::find_if(m_events.begin(), m_events.end(), [](const Item& item) {
-        return item.importance == LogImportance::kRoutine;
-      });
-  m_events.erase(oldest);
-  --m_routine;
+  m_routine.pop_front();
   ++m_dropped.routine;
   return true;
 }
--- a/libraries/observe/event_log_queue.h
+++ b/libraries/observe/event_log_queue.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -42,20 +41,24 @@
   // Returns the oldest event, or nothing.
   std::optional<TimelineEvent> Pop();
 
-  size_t size() const { return m_events.size(); }
+  size_t size() const { return m_routine.size() + m_failures.size(); }
   const Dropped& dropped() const { return m_dropped; }
 
  private:
   struct Item {
+    // In the order of Push.
+    uint64_t number = 0;
     TimelineEvent event;
-    LogImportance importance;
   };
 
   bool DropOldestRoutine();
 
   const size_t m_capacity;
-  std::deque<Item> m_events;
-  size_t m_routine = 0;
+  // A queue for each importance, so that the oldest routine event is found
+  // without a search when many failures wait.
+  std::deque<Item> m_routine;
+  std::deque<Item> m_failures;
+  uint64_t m_next_number = 0;
   Dropped m_dropped;
 };
 
