--- a/libraries/gateway/backend_pool.cc
+++ b/libraries/gateway/backend_pool.cc
@@ -96,8 +96,7 @@
   const TimePoint now = m_timers.now();
   if (target.full_until && now < *target.full_until)
     return RetryWhenNotFull(target);
-  while (target.opening < target.waiters.size() &&
-         target.opening < m_options.concurrent_opens) {
+  while (MayOpen(target)) {
     ++target.opening;
     m_open(target.server, m_options.open_timeout,
            [self = m_self, id = target.server.id](
@@ -108,6 +107,15 @@
   }
 }
 
+bool BackendPool::MayOpen(const Target& target) const {
+  if (target.opening >= target.waiters.size() ||
+      target.opening >= m_options.concurrent_opens)
+    return false;
+  const size_t limit =
+      m_options.max_connections ? m_options.max_connections(target.server) : 0;
+  return limit == 0 || target.in_use + target.opening < limit;
+}
+
 void BackendPool::RetryWhenNotFull(Target& target) {
   if (target.retry_planned || target.waiters.empty())
     return;
@@ -133,10 +141,7 @@
   if (session) {
     target.unreachable_until.reset();
     target.full_until.reset();
-    auto connection = std::make_unique<PooledConnection>();
-    connection->server = target.server;
-    connection->session = std::move(session.value());
-    return Offer(target, std::move(connection));
+    return AddOpened(target, std::move(session.value()));
   }
   if (session.error().code == ErrorCode::kExhausted) {
     target.full_until = m_timers.now() + m_options.full_time;
@@ -146,6 +151,32 @@
   FailWaiters(target, session.error());
 }
 
+void BackendPool::AddOpened(Target& target,
+                            std::unique_ptr<BackendSession> session) {
+  auto connection = std::make_unique<PooledConnection>();
+  connection->pool = this;
+  connection->server = target.server;
+  connection->session = std::move(session);
+  Offer(target, std::move(connection));
+}
+
+void BackendPool::Probe(const BackendServer& server,
+                        Duration timeout,
+                        std::function<void(Result<void>)> on_end) {
+  m_open(server, timeout,
+         [self = m_self, id = server.id, on_end = std::move(on_end)](
+             Result<std::unique_ptr<BackendSession>> session) {
+           if (!*self)
+             return;
+           if (!session)
+             return on_end(session.error());
+           const auto found = (*self)->m_targets.find(id);
+           if (found != (*self)->m_targets.end())
+             (*self)->AddOpened(found->second, std::move(session.value()));
+           on_end(Success());
+         });
+}
+
 void BackendPool::Offer(Target& target, ConnectionPtr connection) {
   connection->idle_since = m_timers.now();
   if (target.waiters.empty()) {
@@ -205,6 +236,12 @@
                });
 }
 
+void BackendPool::RollBackToPool(ConnectionPtr connection,
+                                 TransactionState state) {
+  BackendPool& pool = *connection->pool;
+  pool.RollBackAndRelease(std::move(connection), state);
+}
+
 void BackendPool::Discard(ConnectionPtr connection) {
   const auto found = m_targets.find(connection->server.id);
   connection.reset();
@@ -229,11 +266,19 @@
     std::erase_if(target.idle, [&](const ConnectionPtr& connection) {
       return !connection->session->is_open();
     });
+    const bool keeps_one =
+        !m_options.keeps_idle || m_options.keeps_idle(target.server);
     // The least recently used come first.
-    while (target.idle.size() > 1 &&
+    while (target.idle.size() > (keeps_one ? 1 : 0) &&
            target.idle.front()->idle_since + m_options.idle_time < now)
       target.idle.erase(target.idle.begin());
   }
+  std::erase_if(m_targets, [now](const auto& entry) {
+    const Target& target = entry.second;
+    return target.idle.empty() && target.waiters.empty() &&
+           target.in_use == 0 && target.opening == 0 && !target.retry_planned &&
+           (!target.unreachable_until || *target.unreachable_until <= now);
+  });
 }
 
 size_t BackendPool::Outstanding(const InstanceName& id) const {
--- a/libraries/gateway/backend_pool.h
+++ b/libraries/gateway/backend_pool.h
@@ -12,8 +12,12 @@
 
 namespace jackdawturn::gateway {
 
+class BackendPool;
+
 // A connection to an instance while one request or transaction has it.
 struct PooledConnection {
+  // The pool that it goes back to.
+  BackendPool* pool = nullptr;
   BackendServer server;
   std::unique_ptr<BackendSession> session;
   ConnectionState state;
@@ -38,6 +42,11 @@
     Duration rollback_timeout = std::chrono::milliseconds(500);
     // An opening connection takes one of the instance's slots.
     size_t concurrent_opens = 2;
+    // How many connections to the instance there may be; 0: no limit. Null
+    // stands for no limit.
+    std::function<size_t(const BackendServer&)> max_connections;
+    // Whether one idle connection is kept beyond idle_time; null: always.
+    std::function<bool(const BackendServer&)> keeps_idle;
   };
 
   BackendPool(Timers& timers, OpenBackendSession open, Options options);
@@ -54,18 +63,27 @@
                Duration wait,
                OnAcquired on_acquired);
 
+  // Opens a connection, which shows whether the instance answers; it is idle
+  // then. Errors: as Acquire.
+  void Probe(const BackendServer& server,
+             Duration timeout,
+             std::function<void(Result<void>)> on_end);
+
   // Takes the connection back. Precondition: it has no transaction and no batch
   // in progress.
   void Release(ConnectionPtr connection);
   // Takes the connection back; ends its transaction first, if it has one.
   // Precondition: no batch is in progress.
   void RollBackAndRelease(ConnectionPtr connection, TransactionState state);
+  // As RollBackAndRelease, for the pool that the connection came from.
+  static void RollBackToPool(ConnectionPtr connection, TransactionState state);
   // Closes a connection whose state is not known.
   void Discard(ConnectionPtr connection);
 
   // Closes the connections of an instance that has left and fails its waiters.
   void Forget(const InstanceName& id);
-  // Closes what was idle for too long, keeping one connection an instance.
+  // Closes what was idle for too long, and drops what is known of instances
+  // without connections.
   void CloseIdle();
 
   size_t Outstanding(const InstanceName& id) const;
@@ -100,8 +118,10 @@
                OnAcquired on_acquired);
   void EndWait(const InstanceName& id, uint64_t number);
   void OpenMore(Target& target);
+  bool MayOpen(const Target& target) const;
   void Opened(const InstanceName& id,
               Result<std::unique_ptr<BackendSession>> session);
+  void AddOpened(Target& target, std::unique_ptr<BackendSession> session);
   void RetryWhenNotFull(Target& target);
   void Offer(Target& target, ConnectionPtr connection);
   void FailWaiters(Target& target, const Error& error);
--- a/libraries/gateway/client_session.cc
+++ b/libraries/gateway/client_session.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/relay_run.h"
+#include "gateway/statement_run.h"
+
 namespace jackdawturn::gateway {
 
 namespace {
@@ -13,9 +16,10 @@
 
 std::shared_ptr<ClientSession> ClientSession::Create(GatewayContext& context,
                                                      std::string database,
+                                                     Origin origin,
                                                      OnReply on_reply) {
-  return std::shared_ptr<ClientSession>(
-      new ClientSession(context, std::move(database), std::move(on_reply)));
+  return std::shared_ptr<ClientSession>(new ClientSession(
+      context, std::move(database), origin, std::move(on_reply)));
 }
 
 void ClientSession::Handle(ClientStatement statement) {
@@ -36,6 +40,14 @@
                               : nullptr;
 }
 
+bool ClientSession::Relays(const Route& route) const {
+  if (m_origin == Origin::kPeer)
+    return false;
+  const size_t connections = m_context.ConnectionsOf(route.group);
+  return m_context.peers.Relays(connections) &&
+         !m_context.peers.Holds(route.group, connections);
+}
+
 void ClientSession::NoteOwnCommit(const ClientReply& reply) {
   if (reply.position)
     m_own_commit =
@@ -43,6 +55,9 @@
 }
 
 void ClientSession::Start(const ClientStatement& statement) {
+  // The commits of another proxy's client come with its statements.
+  if (m_origin == Origin::kPeer && !m_transaction)
+    m_own_commit = statement.after;
   if (m_transaction)
     m_context.timers.Cancel(m_transaction->idle_timer);
   if (m_transaction && m_transaction->failed)
@@ -63,6 +78,9 @@
     case Kind::kClosePrepared:
       m_state.prepared.erase(statement.name);
       return Answer();
+    case Kind::kDiscard:
+      m_state = {};
+      return Answer();
     case Kind::kCommit:
     case Kind::kRead:
     case Kind::kWrite:
@@ -91,9 +109,14 @@
   if (m_transaction)
     return Fail(ReplyCode::kMalformed, "a transaction is already open");
   const Route* route = FindRoute();
-  if (!route)
-    return Fail(ReplyCode::kNoDatabase, "no such database");
   m_transaction.emplace();
+  if (!route) {
+    // Another proxy sends the first statement without waiting for this answer;
+    // it must not run outside of a transaction.
+    if (m_origin == Origin::kClient)
+      m_transaction.reset();
+    return Fail(ReplyCode::kNoDatabase, "no such database");
+  }
   m_transaction->route = *route;
   m_transaction->read_only = statement.kind == Kind::kBeginRead;
   Answer();
@@ -109,18 +132,18 @@
 void ClientSession::CloseTransaction() {
   m_context.timers.Cancel(m_transaction->idle_timer);
   if (m_transaction->connection)
-    m_context.pool.RollBackAndRelease(std::move(m_transaction->connection),
-                                      TransactionState::kOpen);
+    BackendPool::RollBackToPool(std::move(m_transaction->connection),
+                                TransactionState::kOpen);
 }
 
 void ClientSession::Run(const ClientStatement& statement) {
-  StatementRun::Input input;
+  StatementExecution::Input input;
   input.statement = statement;
   if (m_transaction) {
     input.route = m_transaction->route;
     input.transaction = m_transaction->read_only
-                            ? StatementRun::Transaction::kReadOnly
-                            : StatementRun::Transaction::kReadWrite;
+                            ? StatementExecution::Transaction::kReadOnly
+                            : StatementExecution::Transaction::kReadWrite;
     input.connection = std::move(m_transaction->connection);
     input.transaction_wrote = m_transaction->wrote;
   } else {
@@ -142,22 +165,30 @@
   }
   input.session = m_state;
   input.own_commit = m_own_commit;
+  input.from_peer = m_origin == Origin::kPeer;
   const bool wrote = statement.kind == Kind::kWrite ||
                      (input.prepared && input.prepared->writes);
-  m_run =
-      StatementRun::Create(m_context, std::move(input),
-                           [weak = weak_from_this(), statement,
-                            wrote](StatementRun::Outcome outcome) {
-                             if (const auto self = weak.lock())
-                               self->Ran(statement, wrote, std::move(outcome));
-                           });
+  auto on_done = [weak = weak_from_this(), statement,
+                  wrote](StatementExecution::Outcome outcome) {
+    if (const auto self = weak.lock())
+      self->Ran(statement, wrote, std::move(outcome));
+  };
+  // A transaction stays with the connection of its first statement.
+  const bool relayed = input.connection
+                           ? input.connection->pool == &m_context.peer_pool
+                           : Relays(input.route);
+  if (relayed)
+    m_run = RelayRun::Create(m_context, std::move(input), std::move(on_done));
+  else
+    m_run =
+        StatementRun::Create(m_context, std::move(input), std::move(on_done));
   const auto run = m_run;
   run->Start();
 }
 
 void ClientSession::Ran(const ClientStatement& statement,
                         bool wrote,
-                        StatementRun::Outcome outcome) {
+                        StatementExecution::Outcome outcome) {
   m_run.reset();
   const bool done = outcome.reply.code == ReplyCode::kDone;
   m_context.log.RecordStatement(outcome.reply.code,
@@ -178,7 +209,7 @@
 
 void ClientSession::SettleTransaction(const ClientStatement& statement,
                                       bool wrote,
-                                      StatementRun::Outcome& outcome) {
+                                      StatementExecution::Outcome& outcome) {
   ClientTransaction& transaction = *m_transaction;
   transaction.wrote = transaction.wrote || wrote;
   transaction.connection = std::move(outcome.connection);
--- a/libraries/gateway/client_session.h
+++ b/libraries/gateway/client_session.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "gateway/gateway_context.h"
-#include "gateway/statement_run.h"
+#include "gateway/statement_execution.h"
 
 namespace jackdawturn::gateway {
 
@@ -29,9 +29,18 @@
  public:
   using OnReply = std::function<void(const ClientReply& reply)>;
 
+  // Whose statements a session runs.
+  enum class Origin {
+    kClient,
+    // Clients of another proxy, one after the other. They are never relayed
+    // again.
+    kPeer,
+  };
+
   // `context` outlives the session.
   static std::shared_ptr<ClientSession> Create(GatewayContext& context,
                                                std::string database,
+                                               Origin origin,
                                                OnReply on_reply);
 
   // Answers through the hook, in the order of the statements.
@@ -45,13 +54,19 @@
   bool idle() const;
 
  private:
-  ClientSession(GatewayContext& context, std::string database, OnReply on_reply)
+  ClientSession(GatewayContext& context,
+                std::string database,
+                Origin origin,
+                OnReply on_reply)
       : m_context(context),
         m_database(std::move(database)),
+        m_origin(origin),
         m_on_reply(std::move(on_reply)) {}
 
   // Returns the route in force, or null.
   const Route* FindRoute() const;
+  // Returns whether another proxy holds the connections to the group.
+  bool Relays(const Route& route) const;
   void NoteOwnCommit(const ClientReply& reply);
   void Start(const ClientStatement& statement);
   void StartInFailedTransaction(const ClientStatement& statement);
@@ -60,10 +75,10 @@
   void Run(const ClientStatement& statement);
   void Ran(const ClientStatement& statement,
            bool wrote,
-           StatementRun::Outcome outcome);
+           StatementExecution::Outcome outcome);
   void SettleTransaction(const ClientStatement& statement,
                          bool wrote,
-                         StatementRun::Outcome& outcome);
+                         StatementExecution::Outcome& outcome);
   void WatchIdleTransaction();
   void ExpireTransaction();
   // Rolls the instance's side of the transaction back.
@@ -75,11 +90,12 @@
 
   GatewayContext& m_context;
   const std::string m_database;
+  const Origin m_origin;
   OnReply m_on_reply;
   SessionState m_state;
   std::optional<CommitPosition> m_own_commit;
   std::optional<ClientTransaction> m_transaction;
-  std::shared_ptr<StatementRun> m_run;
+  std::shared_ptr<StatementExecution> m_run;
   TimePoint m_started;
   // Statements that came while another one was in progress.
   std::deque<ClientStatement> m_pending;
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -11,10 +11,12 @@
 #include "gateway/gateway_log.h"       // IWYU pragma: export
 #include "gateway/gateway_types.h"     // IWYU pragma: export
 #include "gateway/metadata_store.h"    // IWYU pragma: export
+#include "gateway/peer_directory.h"    // IWYU pragma: export
 #include "gateway/placement.h"         // IWYU pragma: export
 #include "gateway/position_history.h"  // IWYU pragma: export
 #include "gateway/primary_change.h"    // IWYU pragma: export
 #include "gateway/primary_watch.h"     // IWYU pragma: export
+#include "gateway/relay_run.h"         // IWYU pragma: export
 #include "gateway/server_directory.h"  // IWYU pragma: export
 #include "gateway/session_state.h"     // IWYU pragma: export
 #include "gateway/statement_run.h"     // IWYU pragma: export
--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -7,6 +7,7 @@
 
 #include "gateway/backend_pool.h"
 #include "gateway/gateway_log.h"
+#include "gateway/peer_directory.h"
 #include "gateway/position_history.h"
 #include "gateway/primary_watch.h"
 #include "gateway/server_directory.h"
@@ -31,7 +32,11 @@
 // What all sessions of one proxy share. Thread safety: not thread-safe.
 struct GatewayContext {
   Timers& timers;
+  // Connections to instances.
   BackendPool& pool;
+  // Connections to proxies that hold those to instances.
+  BackendPool& peer_pool;
+  PeerDirectory& peers;
   ServerDirectory& directory;
   GatewayLog& log;
   ZoneName zone;
@@ -49,6 +54,15 @@
   // started, one may have left at any time.
   std::map<GroupName, TimePoint> departures;
   TimePoint started = timers.now();
+
+  // Returns how many connections one instance of the group takes; 0 when the
+  // configuration does not say.
+  size_t ConnectionsOf(const GroupName& group) const {
+    if (!deployment)
+      return 0;
+    const auto found = deployment->groups.find(group);
+    return found == deployment->groups.end() ? 0 : found->second.connections;
+  }
 };
 
 }  // namespace jackdawturn::gateway
--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -20,16 +20,32 @@
 // A new primary is not replaced sooner, so that proxies that see different
 // parts of the network do not replace each other's choice.
 constexpr Duration kShortestLead = 3s;
+// Proxies that do not hold a group's connections leave it to the holders to
+// change its primary, unless these do nothing for this long; they then start
+// one after the other.
+constexpr Duration kObserverPatience = 1'200ms;
+constexpr Duration kObserverSpread = 2s;
+// A list of peers that is this old costs a detour, nothing else.
+constexpr Duration kPeerSettleTime = 1s;
+constexpr Duration kPeerOpenTimeout = 150ms;
+constexpr Duration kPeerIdleTime = 5s;
+constexpr size_t kPeerOpens = 8;
+// JSON numbers keep 53 bits.
+constexpr uint64_t kIncarnationMask = (uint64_t{1} << 52) - 1;
 
 }  // namespace
 
 GatewayHost::GatewayHost(Options options, Ports ports, GatewayLog& log)
     : m_options(std::move(options)),
       m_ports(std::move(ports)),
-      m_pool(m_ports.timers, m_ports.open, m_options.pool),
+      m_peers(m_options.name, m_options.zone),
+      m_pool(m_ports.timers, m_ports.open, PoolOptions()),
+      m_peer_pool(m_ports.timers, m_ports.open, PeerPoolOptions()),
       m_log(log),
       m_context{.timers = m_ports.timers,
                 .pool = m_pool,
+                .peer_pool = m_peer_pool,
+                .peers = m_peers,
                 .directory = m_directory,
                 .log = m_log,
                 .zone = m_options.zone},
@@ -52,11 +68,29 @@
           {[this](const RecordList& list) { ServersListed(list); },
            [this](const RecordChange& change) { ServerChanged(change); },
            [this](const Error* lost) { StoreContact("servers", lost); }}),
+      m_peers_sync(m_ports.store,
+                   m_ports.timers,
+                   RecordCollection::kPeers,
+                   m_options.seed + 3,
+                   {[this](const RecordList& list) { PeersListed(list); },
+                    [this](const RecordChange& change) { PeerChanged(change); },
+                    [this](const Error* lost) { StoreContact("peers", lost); }},
+                   {.settle = kPeerSettleTime}),
+      m_registration(m_ports.store,
+                     m_ports.timers,
+                     log,
+                     {.name = m_options.name,
+                      .zone = m_options.zone,
+                      .relay_address = m_options.relay_address,
+                      .weight = m_options.weight,
+                      .incarnation = m_options.seed & kIncarnationMask},
+                     m_options.seed + 4),
       m_random(m_options.seed) {}
 
 void GatewayHost::Start() {
   m_configuration_sync.Start();
   m_servers_sync.Start();
+  m_peers_sync.Start();
   Tick();
 }
 
@@ -67,6 +101,7 @@
 
 void GatewayHost::Drain() {
   m_draining = true;
+  m_registration.Leave();
   m_log.Belief(EventKind::kProcess, GroupName(), "drain", "", {});
 }
 
@@ -82,7 +117,26 @@
   VERIFY(m_context.deployment);
   if (!m_context.deployment->FindRoute(database))
     return nullptr;
-  return ClientSession::Create(m_context, database, std::move(on_reply));
+  return ClientSession::Create(
+      m_context, database, ClientSession::Origin::kClient, std::move(on_reply));
+}
+
+Result<std::shared_ptr<ClientSession>> GatewayHost::OpenRelayedSession(
+    const RelayTarget& target,
+    ClientSession::OnReply on_reply) {
+  VERIFY(m_context.deployment);
+  if (target.peer != m_options.name)
+    return Failure(ErrorCode::kNotFound, "relay.open", target.peer.value(),
+                   "another proxy is here");
+  if (target.route_version > m_context.deployment->version)
+    return Failure(ErrorCode::kExhausted, "relay.open", target.peer.value(),
+                   "the configuration is older than the route");
+  if (!m_context.deployment->FindRoute(target.database))
+    return Failure(ErrorCode::kNotFound, "relay.open", target.peer.value(),
+                   "no such database");
+  return ClientSession::Create(m_context, target.database,
+                               ClientSession::Origin::kPeer,
+                               std::move(on_reply));
 }
 
 void GatewayHost::ConfigurationListed(const RecordList& list) {
@@ -101,6 +155,10 @@
   if (m_context.deployment &&
       decoded.value().version <= m_context.deployment->version)
     return;
+  for (auto& [database, route] : decoded.value().routes)
+    route.since_version = decoded.value().version;
+  if (m_context.deployment)
+    decoded.value().ContinueFrom(*m_context.deployment);
   m_context.deployment =
       std::make_shared<const Deployment>(std::move(decoded.value()));
   m_log.Belief(
@@ -180,6 +238,74 @@
   m_context.departures[group] = m_ports.timers.now();
 }
 
+std::optional<Peer> GatewayHost::DecodePeerRecord(const StoredRecord& record) {
+  auto peer = DecodePeer(record.name, record.body);
+  if (peer)
+    return std::move(peer.value());
+  m_log.Belief(EventKind::kMembership, GroupName(), "bad_peer", record.name,
+               {{"error", peer.error().message}});
+  return std::nullopt;
+}
+
+void GatewayHost::PeersListed(const RecordList& list) {
+  std::vector<Peer> peers;
+  const StoredRecord* own = nullptr;
+  for (const StoredRecord& record : list.records) {
+    if (record.name == m_options.name.value())
+      own = &record;
+    if (auto peer = DecodePeerRecord(record))
+      peers.push_back(std::move(*peer));
+  }
+  m_log.Belief(EventKind::kMembership, GroupName(), "peers_listed", "",
+               {{"peers", std::to_string(peers.size())},
+                {"revision", std::to_string(list.revision)}});
+  m_peers.Replace(std::move(peers));
+  m_registration.Seen(own);
+}
+
+void GatewayHost::PeerChanged(const RecordChange& change) {
+  const bool own = change.record.name == m_options.name.value();
+  if (change.removed) {
+    m_peers.Remove(VmName(change.record.name));
+    if (own)
+      m_registration.Seen(nullptr);
+    return;
+  }
+  if (own)
+    m_registration.Seen(&change.record);
+  if (const auto peer = DecodePeerRecord(change.record))
+    m_peers.Update(*peer);
+}
+
+BackendPool::Options GatewayHost::PoolOptions() {
+  BackendPool::Options options;
+  options.max_connections = [this](const BackendServer& server) {
+    return m_peers.ConnectionLimit(server.group,
+                                   m_context.ConnectionsOf(server.group));
+  };
+  options.keeps_idle = [this](const BackendServer& server) {
+    return m_peers.Holds(server.group, m_context.ConnectionsOf(server.group));
+  };
+  return options;
+}
+
+BackendPool::Options GatewayHost::PeerPoolOptions() {
+  BackendPool::Options options;
+  options.open_timeout = kPeerOpenTimeout;
+  options.idle_time = kPeerIdleTime;
+  options.concurrent_opens = kPeerOpens;
+  // Connections to proxies that no longer hold the group would stay for ever.
+  options.keeps_idle = [](const BackendServer&) { return false; };
+  return options;
+}
+
+Duration GatewayHost::ObserverDelay(const GroupName& group) {
+  const size_t connections = m_context.ConnectionsOf(group);
+  if (m_peers.Holds(group, connections))
+    return Duration(0);
+  return kObserverPatience + Jitter(kObserverSpread);
+}
+
 void GatewayHost::StoreContact(const char* collection, const Error* lost) {
   m_log.Belief(EventKind::kPlatform, GroupName(), lost ? "lost" : "regained",
                collection,
@@ -193,8 +319,10 @@
     for (const BackendServer& server : m_directory.Expire(m_ports.timers.now()))
       ForgetServer(server.group, server.id);
   }
-  if (++m_ticks % kTicksBetweenSweeps == 0)
+  if (++m_ticks % kTicksBetweenSweeps == 0) {
     m_pool.CloseIdle();
+    m_peer_pool.CloseIdle();
+  }
   CheckIsolation();
   if (!m_context.deployment)
     return;
@@ -254,9 +382,9 @@
   }
   if (!state.reason_since) {
     state.reason_since = now;
-    state.next_change =
-        std::max({state.next_change, state.primary_since + kShortestLead,
-                  now + reason->patience + Jitter(kStartSpread)});
+    state.next_change = std::max(
+        {state.next_change, state.primary_since + kShortestLead,
+         now + reason->patience + Jitter(kStartSpread) + ObserverDelay(group)});
   }
   if (state.change || now < state.next_change)
     return;
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -11,6 +11,7 @@
 #include "gateway/client_session.h"
 #include "gateway/gateway_context.h"
 #include "gateway/metadata_store.h"
+#include "gateway/peer_registration.h"
 #include "gateway/primary_change.h"
 #include "gateway/store_sync.h"
 
@@ -25,7 +26,10 @@
     VmName name;
     ZoneName zone;
     uint64_t seed = 0;
-    BackendPool::Options pool;
+    // Where this proxy serves other proxies.
+    std::string relay_address;
+    // Of this proxy's processor time, compared with other proxies.
+    double weight = 1;
   };
 
   struct Ports {
@@ -47,7 +51,7 @@
   // The configuration and the instances are known, instances of other zones can
   // be reached, and no drain has begun.
   bool ready() const;
-  // Reports not ready from now on.
+  // Reports not ready from now on, and tells the other proxies.
   void Drain();
 
   // Runs `action` once the first configuration is known, at once if it is.
@@ -58,6 +62,14 @@
   std::shared_ptr<ClientSession> OpenSession(const std::string& database,
                                              ClientSession::OnReply on_reply);
 
+  // As OpenSession, for statements that another proxy relays. Errors:
+  // kNotFound (the target names another proxy or an unknown database),
+  // kExhausted (the configuration here is older than the target's).
+  // Precondition: the first configuration is known.
+  Result<std::shared_ptr<ClientSession>> OpenRelayedSession(
+      const RelayTarget& target,
+      ClientSession::OnReply on_reply);
+
   const GatewayContext& context() const { return m_context; }
 
  private:
@@ -88,6 +100,13 @@
   void UpdateServer(const BackendServer& server);
   // Drops what is known of an instance that has left.
   void ForgetServer(const GroupName& group, const InstanceName& id);
+  void PeersListed(const RecordList& list);
+  void PeerChanged(const RecordChange& change);
+  std::optional<Peer> DecodePeerRecord(const StoredRecord& record);
+  BackendPool::Options PoolOptions();
+  static BackendPool::Options PeerPoolOptions();
+  // Returns how much later than a holder this proxy acts for the group.
+  Duration ObserverDelay(const GroupName& group);
   void StoreContact(const char* collection, const Error* lost);
   void Tick();
   void CheckIsolation();
@@ -100,12 +119,16 @@
 
   const Options m_options;
   Ports m_ports;
+  PeerDirectory m_peers;
   BackendPool m_pool;
+  BackendPool m_peer_pool;
   ServerDirectory m_directory;
   GatewayLog& m_log;
   GatewayContext m_context;
   StoreSync m_configuration_sync;
   StoreSync m_servers_sync;
+  StoreSync m_peers_sync;
+  PeerRegistration m_registration;
   std::map<GroupName, GroupState> m_groups;
   // What waits for the first configuration.
   std::vector<std::function<void()>> m_awaiting_configuration;
--- a/libraries/gateway/gateway_types.cc
+++ b/libraries/gateway/gateway_types.cc
@@ -1,5 +1,7 @@
 #include "gateway/gateway_types.h"
 
+#include <tuple>
+
 namespace jackdawturn::gateway {
 
 std::string ToString(const CommitPosition& position) {
@@ -40,6 +42,22 @@
   return "other";
 }
 
+bool Route::SameAs(const Route& other) const {
+  return std::tie(database, group, freshness, max_staleness, statement_timeout,
+                  target_latency, priority) ==
+         std::tie(other.database, other.group, other.freshness,
+                  other.max_staleness, other.statement_timeout,
+                  other.target_latency, other.priority);
+}
+
+void Deployment::ContinueFrom(const Deployment& earlier) {
+  for (auto& [database, route] : routes) {
+    const Route* before = earlier.FindRoute(database);
+    if (before && before->SameAs(route))
+      route.since_version = before->since_version;
+  }
+}
+
 bool PromisesNotRun(ReplyCode code) {
   switch (code) {
     case ReplyCode::kBusy:
--- a/libraries/gateway/gateway_types.h
+++ b/libraries/gateway/gateway_types.h
@@ -44,6 +44,11 @@
   Duration target_latency{0};
   // 0 is the most important.
   uint64_t priority = 0;
+  // The configuration's version since which the route is as it is.
+  uint64_t since_version = 0;
+
+  // Compares what the operator wrote.
+  bool SameAs(const Route& other) const;
 };
 
 // Limits of one group of instances.
@@ -62,6 +67,9 @@
   // A transaction without a statement for this long may be ended.
   Duration transaction_idle{0};
 
+  // Takes over since when each route is as it is from the version before.
+  void ContinueFrom(const Deployment& earlier);
+
   // Returns the route of a database name, or nothing.
   const Route* FindRoute(const std::string& database) const {
     const auto found = routes.find(database);
@@ -127,6 +135,7 @@
     kPrepare,
     kExecute,
     kClosePrepared,
+    kDiscard,  // Of another proxy: clears values and prepared statements.
     kMalformed,
   };
 
@@ -140,6 +149,8 @@
   std::string argument;
   // kPrepare: the prepared statement writes.
   bool writes = false;
+  // Of another proxy: a commit that the read or transaction must see.
+  std::optional<CommitPosition> after;
 };
 
 // The answer to a client's statement.
--- a/libraries/gateway/metadata_store.h
+++ b/libraries/gateway/metadata_store.h
@@ -14,6 +14,7 @@
   kConfiguration,   // Written by operators.
   kServers,         // Written by the instances.
   kPrimaryChanges,  // Written by proxies: who changes a group's primary.
+  kPeers,           // Written by proxies: where each one can be reached.
 };
 
 struct StoredRecord {
--- /dev/null
+++ b/libraries/gateway/peer_directory.cc
@@ -0,0 +1,206 @@
+#include "gateway/peer_directory.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+#include <boost/json.hpp>
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+constexpr const char* kStep = "peers.decode";
+// A proxy with fewer connections to an instance than this cannot run two
+// statements there at a time.
+constexpr size_t kFewestConnections = 2;
+// Proxies of one zone that are tried one after the other for a group.
+constexpr size_t kHoldersPerZone = 3;
+// The share of an instance's connections that is left to changes of primary
+// and to proxies that find no holder.
+constexpr size_t kReservedPart = 8;
+constexpr unsigned kDoublings = 5;
+constexpr char kSeparator = '/';
+
+// Weighted rendezvous hashing: the highest score wins, and a proxy wins in
+// proportion to its weight.
+double ScoreOf(const Peer& peer, const GroupName& group) {
+  constexpr double kHashRange = 18446744073709551616.0;
+  const auto hash =
+      static_cast<double>(RendezvousWeight(group.value(), peer.name.value()));
+  return -peer.weight / std::log((hash + 0.5) / kHashRange);
+}
+
+}  // namespace
+
+Result<Peer> DecodePeer(const std::string& name, const std::string& body) {
+  TRY(const boost::json::value value, ParseJson(body, kStep));
+  TRY(const JsonFields fields, JsonFields::Create(value, kStep));
+  Peer peer;
+  peer.name = VmName(name);
+  TRY(const std::string zone, fields.String("zone"));
+  peer.zone = ZoneName(zone);
+  TRY(peer.relay_address, fields.String("relay_address"));
+  TRY(peer.leaving, fields.Boolean("leaving"));
+  TRY(peer.incarnation, fields.Number("incarnation"));
+  const auto* weight = fields.object().if_contains("weight");
+  if (!weight || !weight->is_number() || weight->to_number<double>() <= 0)
+    return Failure(ErrorCode::kInvalidArgument, kStep, name,
+                   "weight: expected a positive number");
+  peer.weight = weight->to_number<double>();
+  return peer;
+}
+
+std::string EncodePeer(const Peer& peer) {
+  return boost::json::serialize(
+      boost::json::object{{"zone", peer.zone.value()},
+                          {"relay_address", peer.relay_address},
+                          {"weight", peer.weight},
+                          {"leaving", peer.leaving},
+                          {"incarnation", peer.incarnation}});
+}
+
+InstanceName RelayTarget::ToInstanceName() const {
+  return InstanceName(peer.value() + kSeparator +
+                      std::to_string(route_version) + kSeparator + database);
+}
+
+Result<RelayTarget> RelayTarget::Parse(const std::string& text) {
+  const size_t first = text.find(kSeparator);
+  const size_t second =
+      first == std::string::npos ? first : text.find(kSeparator, first + 1);
+  if (second == std::string::npos)
+    return Failure(ErrorCode::kInvalidArgument, kStep, "",
+                   "expected PEER/VERSION/DATABASE");
+  RelayTarget target;
+  target.peer = VmName(text.substr(0, first));
+  target.database = text.substr(second + 1);
+  const char* end = text.data() + second;
+  const auto parsed =
+      std::from_chars(text.data() + first + 1, end, target.route_version);
+  if (parsed.ec != std::errc() || parsed.ptr != end)
+    return Failure(ErrorCode::kInvalidArgument, kStep, "",
+                   "the route's version is not a number");
+  return target;
+}
+
+PeerDirectory::PeerDirectory(VmName self, ZoneName zone)
+    : m_self(std::move(self)), m_zone(std::move(zone)) {}
+
+void PeerDirectory::Replace(std::vector<Peer> peers) {
+  m_peers.clear();
+  for (Peer& peer : peers) {
+    const VmName name = peer.name;
+    m_peers.insert_or_assign(name, std::move(peer));
+  }
+  m_holders.clear();
+}
+
+void PeerDirectory::Update(const Peer& peer) {
+  const Peer* known = Find(peer.name);
+  // A new run of the process says nothing about the failure of the old one.
+  if (known && known->incarnation != peer.incarnation)
+    m_suspicions.erase(peer.name);
+  m_peers.insert_or_assign(peer.name, peer);
+  m_holders.clear();
+}
+
+void PeerDirectory::Remove(const VmName& name) {
+  m_peers.erase(name);
+  m_suspicions.erase(name);
+  m_holders.clear();
+}
+
+void PeerDirectory::Suspect(const VmName& name, TimePoint now) {
+  Suspicion& suspicion = m_suspicions[name];
+  // Requests that fail together count as one failure.
+  if (suspicion.until > now)
+    return;
+  suspicion.until =
+      now + kSuspectTime * (1 << std::min(suspicion.failures, kDoublings));
+  ++suspicion.failures;
+}
+
+void PeerDirectory::Answered(const VmName& name) {
+  m_suspicions.erase(name);
+}
+
+bool PeerDirectory::Usable(const VmName& name, TimePoint now) const {
+  const auto suspicion = m_suspicions.find(name);
+  return suspicion == m_suspicions.end() || suspicion->second.until <= now;
+}
+
+bool PeerDirectory::Relays(size_t instance_connections) const {
+  const auto present =
+      std::count_if(m_peers.begin(), m_peers.end(),
+                    [](const auto& entry) { return !entry.second.leaving; });
+  return instance_connections > 0 &&
+         static_cast<size_t>(present) * kFewestConnections >
+             instance_connections;
+}
+
+const std::vector<PeerDirectory::Order>& PeerDirectory::HoldersOf(
+    const GroupName& group) {
+  const auto known = m_holders.find(group);
+  if (known != m_holders.end())
+    return known->second;
+  std::map<ZoneName, std::vector<std::pair<double, VmName>>> zones;
+  for (const auto& [name, peer] : m_peers) {
+    if (!peer.leaving)
+      zones[peer.zone].emplace_back(ScoreOf(peer, group), name);
+  }
+  std::vector<Order> holders(1);
+  for (auto& [zone, scored] : zones) {
+    std::sort(scored.rbegin(), scored.rend());
+    scored.resize(std::min(scored.size(), kHoldersPerZone));
+    Order order;
+    for (const auto& [score, name] : scored)
+      order.push_back(name);
+    if (zone == m_zone)
+      holders.front() = std::move(order);
+    else
+      holders.push_back(std::move(order));
+  }
+  return m_holders[group] = std::move(holders);
+}
+
+bool PeerDirectory::Holds(const GroupName& group, size_t instance_connections) {
+  if (!Relays(instance_connections))
+    return true;
+  const Order& own_zone = HoldersOf(group).front();
+  return !own_zone.empty() && own_zone.front() == m_self;
+}
+
+size_t PeerDirectory::ConnectionLimit(const GroupName& group,
+                                      size_t instance_connections) {
+  if (!Relays(instance_connections))
+    return 0;
+  if (!Holds(group, instance_connections))
+    return kFewestConnections;
+  const size_t shared =
+      instance_connections - instance_connections / kReservedPart;
+  return std::max(shared / HoldersOf(group).size(), kFewestConnections);
+}
+
+const Peer* PeerDirectory::ChooseHolder(const GroupName& group,
+                                        const std::set<VmName>& avoided,
+                                        TimePoint now) {
+  for (const Order& zone : HoldersOf(group)) {
+    for (const VmName& name : zone) {
+      // Whoever comes after this proxy in the order relays to it.
+      if (name == m_self)
+        return nullptr;
+      if (Usable(name, now) && !avoided.contains(name))
+        return Find(name);
+    }
+  }
+  return nullptr;
+}
+
+const Peer* PeerDirectory::Find(const VmName& name) const {
+  const auto found = m_peers.find(name);
+  return found == m_peers.end() ? nullptr : &found->second;
+}
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/peer_registration.cc
@@ -0,0 +1,108 @@
+#include "gateway/peer_registration.h"
+
+#include <utility>
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+
+constexpr Duration kStoreTimeout = 800ms;
+// Random, so that proxies that start together do not write again together.
+constexpr Duration kShortestRetry = 100ms;
+constexpr Duration kLongestRetry = 600ms;
+
+}  // namespace
+
+PeerRegistration::PeerRegistration(MetadataStore& store,
+                                   Timers& timers,
+                                   GatewayLog& log,
+                                   Peer self,
+                                   uint64_t seed)
+    : m_store(store),
+      m_timers(timers),
+      m_log(log),
+      m_peer(std::move(self)),
+      m_random(seed),
+      m_self(std::make_shared<PeerRegistration*>(this)) {}
+
+PeerRegistration::~PeerRegistration() {
+  *m_self = nullptr;
+}
+
+void PeerRegistration::Seen(const StoredRecord* own) {
+  m_known = true;
+  if (m_writing)
+    return;
+  m_revision = own ? own->revision : 0;
+  if (own) {
+    const auto peer = DecodePeer(own->name, own->body);
+    if (peer && peer.value().incarnation == m_peer.incarnation &&
+        peer.value().leaving == m_peer.leaving)
+      return;
+  }
+  Write();
+}
+
+void PeerRegistration::Leave() {
+  m_peer.leaving = true;
+  if (m_known && !m_writing)
+    Write();
+}
+
+void PeerRegistration::Write() {
+  m_writing = true;
+  const bool leaving = m_peer.leaving;
+  m_store.Update(
+      RecordCollection::kPeers, m_peer.name.value(), m_revision,
+      EncodePeer(m_peer), kStoreTimeout,
+      [self = m_self, leaving](Result<StoredRecord> record) {
+        if (!*self)
+          return;
+        (*self)->Written(std::move(record));
+        // Leave came while the write was in progress.
+        if (!(*self)->m_writing && leaving != (*self)->m_peer.leaving)
+          (*self)->Write();
+      });
+}
+
+void PeerRegistration::Written(Result<StoredRecord> record) {
+  if (record) {
+    m_writing = false;
+    m_revision = record.value().revision;
+    m_log.Belief(EventKind::kMembership, GroupName(), "registered",
+                 m_peer.name.value(),
+                 {{"revision", std::to_string(m_revision)},
+                  {"leaving", m_peer.leaving ? "yes" : "no"}});
+    return;
+  }
+  m_log.Belief(EventKind::kMembership, GroupName(), "register_failed",
+               m_peer.name.value(), {{"error", record.error().message}});
+  Retry();
+}
+
+void PeerRegistration::Retry() {
+  const Duration delay(std::uniform_int_distribution<int64_t>(
+      kShortestRetry.count(), kLongestRetry.count())(m_random));
+  m_timers.After(delay, [self = m_self] {
+    if (*self)
+      (*self)->ReadAgain();
+  });
+}
+
+void PeerRegistration::ReadAgain() {
+  m_store.Read(RecordCollection::kPeers, m_peer.name.value(), kStoreTimeout,
+               [self = m_self](Result<StoredRecord> record) {
+                 if (!*self)
+                   return;
+                 const bool missing =
+                     !record && record.error().code == ErrorCode::kNotFound;
+                 if (!record && !missing)
+                   return (*self)->Retry();
+                 (*self)->m_writing = false;
+                 (*self)->Seen(record ? &record.value() : nullptr);
+               });
+}
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/statement_execution.cc
@@ -0,0 +1,49 @@
+#include "gateway/statement_execution.h"
+
+#include <utility>
+
+namespace jackdawturn::gateway {
+
+ReplyCode StatementExecution::Input::UnansweredCode() const {
+  // Without a commit, closing the connection rolls a transaction back.
+  const bool may_be_kept =
+      in_transaction() ? is_commit() && changes_data() : changes_data();
+  return may_be_kept ? ReplyCode::kUnknown : ReplyCode::kAborted;
+}
+
+ClientReply StatementExecution::ErrorReply(ReplyCode code,
+                                           std::string message) {
+  ClientReply reply;
+  reply.code = code;
+  reply.message = std::move(message);
+  return reply;
+}
+
+ClientReply StatementExecution::ReplyOf(const BackendReply& reply) {
+  ClientReply answer;
+  answer.code = reply.code;
+  answer.rows = reply.rows;
+  answer.signature = reply.signature;
+  answer.message = reply.message;
+  answer.position = reply.position;
+  return answer;
+}
+
+BackendCommand StatementExecution::StatementCommand(const Input& input) {
+  BackendCommand command;
+  command.id = input.statement.id;
+  command.kind = BackendCommand::Kind::kForward;
+  command.text = input.statement.text;
+  if (input.prepared) {
+    command.kind = BackendCommand::Kind::kExecute;
+    command.name = input.prepared->SharedName();
+    command.argument = input.statement.argument;
+  }
+  return command;
+}
+
+Duration StatementExecution::Share(Duration whole, double share) {
+  return std::chrono::duration_cast<Duration>(whole * share);
+}
+
+}  // namespace jackdawturn::gateway
--- a/libraries/gateway/statement_run.cc
+++ b/libraries/gateway/statement_run.cc
@@ -25,26 +25,16 @@
 constexpr Duration kUsualLag = 250ms;
 // A connection that has given no answer for this long is closed.
 constexpr Duration kAbandonedTime = 3s;
-// The share of the statement's time limit within which it must have been sent.
-constexpr double kWaitShare = 0.6;
 // A repeatable read without an answer after this share of its latency target
 // is sent to another instance.
 constexpr double kSilenceShare = 0.75;
 constexpr Duration kMinSilence = 120ms;
+// Statements of other proxies wait no longer than this share of their latency
+// target: their clients are better served by another attempt.
+constexpr double kPeerWaitShare = 0.75;
 // A statement of a transaction cannot move, so it is given up later.
 constexpr Duration kMinTransactionSilence = 250ms;
 
-Duration Share(Duration whole, double share) {
-  return std::chrono::duration_cast<Duration>(whole * share);
-}
-
-ClientReply ErrorReply(ReplyCode code, std::string message) {
-  ClientReply reply;
-  reply.code = code;
-  reply.message = std::move(message);
-  return reply;
-}
-
 }  // namespace
 
 std::shared_ptr<StatementRun> StatementRun::Create(GatewayContext& context,
@@ -60,16 +50,18 @@
       m_on_done(std::move(on_done)),
       m_received(context.timers.now()),
       m_deadline(m_received + m_input.route.statement_timeout),
-      m_give_up(m_received +
-                Share(m_input.route.statement_timeout, kWaitShare)) {}
+      m_give_up(m_received + WaitLimit()) {}
 
-bool StatementRun::writes() const {
-  return m_input.statement.kind == StatementKind::kWrite ||
-         (m_input.prepared && m_input.prepared->writes);
+Duration StatementRun::WaitLimit() const {
+  const Route& route = m_input.route;
+  const Duration longest = Share(route.statement_timeout, kWaitShare);
+  if (!m_input.from_peer)
+    return longest;
+  return std::min(longest, Share(route.target_latency, kPeerWaitShare));
 }
 
 bool StatementRun::needs_primary() const {
-  return writes() || m_input.transaction == Transaction::kReadWrite ||
+  return m_input.writes() || m_input.transaction == Transaction::kReadWrite ||
          m_input.route.freshness == ReadFreshness::kPrimary;
 }
 
@@ -79,14 +71,6 @@
   return primary && primary->id == m_target;
 }
 
-bool StatementRun::repeatable() const {
-  return !in_transaction() && !writes();
-}
-
-bool StatementRun::changes_data() const {
-  return writes() || (is_commit() && m_input.transaction_wrote);
-}
-
 void StatementRun::Start() {
   if (!m_input.connection)
     return Place();
@@ -104,13 +88,13 @@
   if (!m_on_done)
     return;
   if (m_context.timers.now() >= m_give_up)
-    return Refuse("no_instance_in_time");
+    return Refuse(kNoInstance);
   ++m_attempts;
   const BackendServer* server = ChooseServer();
   if (!server) {
     // The zone will not be connected again in time; another proxy may serve it.
     if (m_context.isolated_since)
-      return Refuse("zone_isolated");
+      return Refuse(kZoneIsolated);
     m_avoided.clear();
     return PlaceAgain(kRetryDelay);
   }
@@ -133,7 +117,7 @@
     return nullptr;
   // One write at a time shows whether a primary without replicas has recovered;
   // the others stay free to be refused as not run.
-  if ((writes() || is_commit()) &&
+  if ((m_input.writes() || m_input.is_commit()) &&
       m_context.watch.WritesBlocked(primary->id, m_context.timers.now()))
     return nullptr;
   return primary;
@@ -180,14 +164,14 @@
     if (!m_on_done)
       return GiveBack();
     const bool leads = target_leads();
-    m_wrapped = !in_transaction() && !writes() && leads;
+    m_wrapped = !m_input.in_transaction() && !m_input.writes() && leads;
     // The instance may have become primary, or stopped being it, while the
     // statement waited.
     if (!leads && !m_required) {
       GiveBack();
       return PlaceAgain(Duration(0));
     }
-    if (in_transaction() || m_wrapped)
+    if (m_input.in_transaction() || m_wrapped)
       return BeginTransaction();
     return SendStatement();
   }
@@ -241,27 +225,13 @@
   });
 }
 
-BackendCommand StatementRun::StatementCommand() const {
-  const ClientStatement& statement = m_input.statement;
-  BackendCommand command;
-  command.id = statement.id;
-  command.kind = CommandKind::kForward;
-  command.text = statement.text;
-  if (m_input.prepared) {
-    command.kind = CommandKind::kExecute;
-    command.name = m_input.prepared->SharedName();
-    command.argument = statement.argument;
-  }
-  if (!in_transaction() && !m_wrapped && !writes())
-    command.after = m_required;
-  return command;
-}
-
 void StatementRun::SendStatement() {
   auto commands = PrepareConnection(
       m_input.session, m_input.prepared ? &*m_input.prepared : nullptr,
       m_connection->state);
-  commands.push_back(StatementCommand());
+  commands.push_back(StatementCommand(m_input));
+  if (!m_input.in_transaction() && !m_wrapped && !m_input.writes())
+    commands.back().after = m_required;
   const size_t index = commands.size() - 1;
   if (m_wrapped)
     commands.push_back({.kind = CommandKind::kRollback});
@@ -277,7 +247,7 @@
   const uint64_t batch = ++m_batch;
   m_asked = m_context.timers.now();
   TimePoint silent_at = m_deadline;
-  if (!changes_data())
+  if (!m_input.changes_data())
     silent_at = std::min(silent_at, m_asked + SilenceLimit());
   m_silence_timer =
       m_context.timers.After(std::max(silent_at - m_asked, Duration(0)),
@@ -285,25 +255,26 @@
                                if (batch == self->m_batch)
                                  self->Silent();
                              });
-  m_context.watch.Sent(m_target, changes_data(), m_asked);
+  m_context.watch.Sent(m_target, m_input.changes_data(), m_asked);
   m_connection->session->Send(
       std::move(commands),
       [self = shared_from_this(), batch, on_replies = std::move(on_replies)](
           Result<std::vector<BackendReply>> replies) {
-        self->Replied(batch, std::move(replies), on_replies);
+        if (batch == self->m_batch)
+          self->Replied(std::move(replies), on_replies);
+        else
+          self->LateReplied(batch, replies);
       });
 }
 
 void StatementRun::Replied(
-    uint64_t batch,
     Result<std::vector<BackendReply>> replies,
     const std::function<void(std::vector<BackendReply>)>& use) {
-  if (batch != m_batch)
-    return;
   m_context.timers.Cancel(m_silence_timer);
   if (!replies)
     return Broken(replies.error().message);
-  m_context.watch.Answered(m_target, changes_data(), m_context.timers.now());
+  m_context.watch.Answered(m_target, m_input.changes_data(),
+                           m_context.timers.now());
   m_context.reach.Reached(m_target, m_context.timers.now());
   m_instance_state = replies.value().back().state;
   if (!m_on_done)
@@ -316,46 +287,64 @@
   ++m_batch;
   Log("silent", {{"after_us",
                   std::to_string((m_context.timers.now() - m_asked).count())}});
-  m_context.watch.Lost(m_target, changes_data(), m_context.timers.now());
+  m_context.watch.Lost(m_target, m_input.changes_data(),
+                       m_context.timers.now());
+  // Whatever has not committed is rolled back when its answer comes. Closing
+  // now would waste the instance's work, and the next connection would take
+  // one of its slots.
+  if (m_input.changes_data())
+    m_context.pool.Discard(std::move(m_connection));
+  else
+    KeepUntilAnswered(m_batch - 1);
   if (!m_on_done)
-    return m_context.pool.Discard(std::move(m_connection));
-  if (repeatable()) {
-    // The instance may still be at work; closing now would waste that.
-    auto kept =
-        std::make_shared<BackendPool::ConnectionPtr>(std::move(m_connection));
-    m_context.timers.After(kAbandonedTime, [&pool = m_context.pool, kept] {
-      pool.Discard(std::move(*kept));
-    });
-    m_avoided.insert(m_target);
-    return Place();
-  }
-  m_context.pool.Discard(std::move(m_connection));
-  FinishUnanswered("no answer in time");
+    return;
+  if (!m_input.repeatable())
+    return FinishUnanswered("no answer in time");
+  m_avoided.insert(m_target);
+  Place();
+}
+
+void StatementRun::KeepUntilAnswered(uint64_t batch) {
+  m_late[batch] = std::move(m_connection);
+  m_context.timers.After(kAbandonedTime, [self = shared_from_this(), batch] {
+    auto late = self->m_late.extract(batch);
+    if (!late.empty())
+      self->m_context.pool.Discard(std::move(late.mapped()));
+  });
+}
+
+void StatementRun::LateReplied(
+    uint64_t batch,
+    const Result<std::vector<BackendReply>>& replies) {
+  auto late = m_late.extract(batch);
+  if (late.empty())
+    return;
+  if (!replies)
+    return m_context.pool.Discard(std::move(late.mapped()));
+  m_context.pool.RollBackAndRelease(std::move(late.mapped()),
+                                    replies.value().back().state);
 }
 
 void StatementRun::FinishUnanswered(const std::string& message) {
-  const bool may_be_kept =
-      in_transaction() ? is_commit() && changes_data() : changes_data();
-  // Without a commit, closing the connection rolls the transaction back.
-  Finish(ErrorReply(may_be_kept ? ReplyCode::kUnknown : ReplyCode::kAborted,
-                    message));
+  Finish(ErrorReply(m_input.UnansweredCode(), message));
 }
 
 Duration StatementRun::SilenceLimit() const {
   const Duration target = m_input.route.target_latency;
-  if (in_transaction())
+  if (m_input.in_transaction())
     return std::max(kMinTransactionSilence, target);
   return std::max(kMinSilence, Share(target, kSilenceShare));
 }
 
 void StatementRun::Broken(const std::string& message) {
   ++m_batch;
-  m_context.watch.Lost(m_target, changes_data(), m_context.timers.now());
+  m_context.watch.Lost(m_target, m_input.changes_data(),
+                       m_context.timers.now());
   m_context.pool.Discard(std::move(m_connection));
   if (!m_on_done)
     return;
   Log("broken", {{"error", message}});
-  if (repeatable()) {
+  if (m_input.repeatable()) {
     m_avoided.insert(m_target);
     return PlaceAgain(Duration(0));
   }
@@ -366,10 +355,10 @@
   if (!reply.position)
     return;
   // Only an answer that an instance gives as leader tells where the log stands.
-  const bool led =
-      writes() || m_wrapped || m_input.transaction == Transaction::kReadWrite;
+  const bool led = m_input.writes() || m_wrapped ||
+                   m_input.transaction == Transaction::kReadWrite;
   if (target_leads()) {
-    if (led && !is_commit())
+    if (led && !m_input.is_commit())
       m_context.positions[m_input.route.group].Observe(m_asked,
                                                        *reply.position);
     return;
@@ -383,17 +372,13 @@
     NotePosition(reply);
   if (reply.code == ReplyCode::kNoStatement)
     m_connection->state.prepared.clear();
-  ClientReply answer;
-  answer.code = reply.code;
-  answer.rows = reply.rows;
-  answer.signature = reply.signature;
-  answer.message = reply.message;
-  answer.position = reply.position;
+  ClientReply answer = ReplyOf(reply);
   const bool done = reply.code == ReplyCode::kDone;
-  if (in_transaction() && done && !is_commit())
+  if (m_input.in_transaction() && done && !m_input.is_commit())
     return Finish(std::move(answer));
   // Of a transaction, only the first statement can move to another instance.
-  const bool movable = !in_transaction() || (m_attempts > 0 && !is_commit());
+  const bool movable =
+      !m_input.in_transaction() || (m_attempts > 0 && !m_input.is_commit());
   GiveBack();
   if (!done && movable && TryAgain(reply))
     return;
--- a/libraries/gateway/statement_run.h
+++ b/libraries/gateway/statement_run.h
@@ -1,72 +1,38 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
-#include "gateway/gateway_context.h"
-#include "gateway/session_state.h"
+#include "gateway/statement_execution.h"
 
 namespace jackdawturn::gateway {
 
 // Runs one statement: chooses an instance, gets a connection, sends the
 // statement and tries again elsewhere as long as it has not run. Thread safety:
 // not thread-safe.
-class StatementRun : public std::enable_shared_from_this<StatementRun> {
+class StatementRun : public StatementExecution,
+                     public std::enable_shared_from_this<StatementRun> {
  public:
-  enum class Transaction { kNone, kReadOnly, kReadWrite };
-
-  struct Input {
-    ClientStatement statement;
-    Route route;
-    Transaction transaction = Transaction::kNone;
-    // Null for a statement that uses no prepared one.
-    std::optional<PreparedStatement> prepared;
-    SessionState session;
-    // The session's last own commit.
-    std::optional<CommitPosition> own_commit;
-    // The transaction's connection; null for its first statement.
-    BackendPool::ConnectionPtr connection;
-    // An earlier statement of the transaction has written.
-    bool transaction_wrote = false;
-  };
-
-  struct Outcome {
-    ClientReply reply;
-    // The transaction's connection while it is open.
-    BackendPool::ConnectionPtr connection;
-  };
-  using OnDone = std::function<void(Outcome)>;
-
   static std::shared_ptr<StatementRun> Create(GatewayContext& context,
                                               Input input,
                                               OnDone on_done);
-  void Start();
-  // The client has left: nobody is told of the outcome, and a transaction is
-  // rolled back.
-  void Abandon();
+  void Start() override;
+  void Abandon() override;
 
  private:
   StatementRun(GatewayContext& context, Input input, OnDone on_done);
 
-  bool in_transaction() const {
-    return m_input.transaction != Transaction::kNone;
-  }
-  bool is_commit() const {
-    return m_input.statement.kind == ClientStatement::Kind::kCommit;
-  }
-  bool writes() const;
   bool needs_primary() const;
   // The chosen instance leads its group as far as is known.
   bool target_leads() const;
-  // The commands in progress change data when they succeed.
-  bool changes_data() const;
-  // Nothing is lost when this statement runs a second time or never.
-  bool repeatable() const;
 
+  // How long the statement may wait before it is sent.
+  Duration WaitLimit() const;
   void Place();
   const BackendServer* ChooseServer();
   const BackendServer* ChooseForRead();
@@ -75,13 +41,16 @@
   void NoteOpenFailure(const BackendServer& server, ErrorCode code);
   void BeginTransaction();
   void SendStatement();
-  BackendCommand StatementCommand() const;
   void Send(std::vector<BackendCommand> commands,
             std::function<void(std::vector<BackendReply>)> on_replies);
-  void Replied(uint64_t batch,
-               Result<std::vector<BackendReply>> replies,
+  void Replied(Result<std::vector<BackendReply>> replies,
                const std::function<void(std::vector<BackendReply>)>& use);
   void Silent();
+  // Gives the connection back when the answer comes, and closes it when none
+  // comes.
+  void KeepUntilAnswered(uint64_t batch);
+  void LateReplied(uint64_t batch,
+                   const Result<std::vector<BackendReply>>& replies);
   // After this long without an answer the statement is tried elsewhere, or its
   // transaction is given up.
   Duration SilenceLimit() const;
@@ -117,6 +86,8 @@
   InstanceName m_target;
   TimePoint m_asked;
   uint64_t m_batch = 0;
+  // Connections of batches that were given up, by batch.
+  std::map<uint64_t, BackendPool::ConnectionPtr> m_late;
   Timers::TimerId m_silence_timer = 0;
   unsigned m_attempts = 0;
   bool m_finished = false;
--- a/libraries/gateway/store_sync.cc
+++ b/libraries/gateway/store_sync.cc
@@ -10,9 +10,6 @@
 using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
 
 constexpr Duration kListTimeout = 1'500ms;
-// A watch that the store does not end, on a connection that fell silent, hides
-// changes for this long.
-constexpr Duration kWatchWait = 2'500ms;
 constexpr Duration kFirstRetry = 50ms;
 constexpr Duration kLongestRetry = 800ms;
 constexpr unsigned kRetryDoublings = 4;
@@ -23,11 +20,13 @@
                      Timers& timers,
                      RecordCollection collection,
                      uint64_t seed,
-                     Hooks hooks)
+                     Hooks hooks,
+                     WatchPace pace)
     : m_store(store),
       m_timers(timers),
       m_collection(collection),
       m_hooks(std::move(hooks)),
+      m_pace(pace),
       m_random(seed),
       m_self(std::make_shared<StoreSync*>(this)) {}
 
@@ -57,7 +56,7 @@
 }
 
 void StoreSync::Watch() {
-  m_store.Watch(m_collection, m_revision, kWatchWait,
+  m_store.Watch(m_collection, m_revision, m_pace.wait,
                 [self = m_self](Result<RecordChanges> changes) {
                   if (*self)
                     (*self)->Watched(std::move(changes));
@@ -72,7 +71,12 @@
   for (const RecordChange& change : changes.value().changes)
     m_hooks.on_change(change);
   m_revision = std::max(m_revision, changes.value().revision);
-  Watch();
+  if (changes.value().changes.empty() || m_pace.settle == Duration(0))
+    return Watch();
+  m_timers.After(m_pace.settle, [self = m_self] {
+    if (*self)
+      (*self)->Watch();
+  });
 }
 
 void StoreSync::Failed(const Error& error, bool list_again) {
--- a/libraries/gateway/store_sync.h
+++ b/libraries/gateway/store_sync.h
@@ -9,6 +9,16 @@
 
 namespace jackdawturn::gateway {
 
+// How often the store is asked.
+struct WatchPace {
+  // A watch without changes ends after this time. The store's connections
+  // have keepalive, so a silent one ends sooner.
+  Duration wait = std::chrono::seconds(10);
+  // After a change, the next watch begins this much later, so that changes
+  // in quick succession are answered together.
+  Duration settle{0};
+};
+
 // Keeps up with one collection of records: lists it, then watches it, and lists
 // it again when the store has forgotten the history in between. Thread safety:
 // not thread-safe.
@@ -26,7 +36,8 @@
             Timers& timers,
             RecordCollection collection,
             uint64_t seed,
-            Hooks hooks);
+            Hooks hooks,
+            WatchPace pace = {});
   ~StoreSync();
   StoreSync(const StoreSync&) = delete;
   StoreSync& operator=(const StoreSync&) = delete;
@@ -46,6 +57,7 @@
   Timers& m_timers;
   const RecordCollection m_collection;
   Hooks m_hooks;
+  const WatchPace m_pace;
   std::mt19937_64 m_random;
   // Hooks that outlive this object find it gone.
   std::shared_ptr<StoreSync*> m_self;
--- a/libraries/http/http_client.cc
+++ b/libraries/http/http_client.cc
@@ -11,6 +11,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "http/socket_options.h"
+
 namespace jackdawturn {
 
 namespace {
@@ -44,8 +46,7 @@
                                                      : ErrorCode::kUnavailable,
                       "http.connect", self->m_host, error.message()});
           }
-          beast::error_code ignored;
-          self->m_stream.socket().set_option(Tcp::no_delay(true), ignored);
+          SetSocketOptions(self->m_stream.socket());
           self->m_open = true;
           on_connected(Success());
         });
--- a/platform/socket_options.cc
+++ b/libraries/http/socket_options.cc
@@ -1,8 +1,8 @@
-#include "platform/socket_options.h"
+#include "http/socket_options.h"
 
 #include <netinet/tcp.h>
 
-namespace jackdawturn::gateway::platform {
+namespace jackdawturn {
 
 namespace {
 
@@ -29,4 +29,4 @@
                     ignored);
 }
 
-}  // namespace jackdawturn::gateway::platform
+}  // namespace jackdawturn
--- a/platform/socket_options.h
+++ b/libraries/http/socket_options.h
@@ -2,7 +2,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-namespace jackdawturn::gateway::platform {
+namespace jackdawturn {
 
 // Turns off the delay of small segments, and lets the kernel end connections
 // whose other end has silently gone. Errors are ignored: a socket without these
@@ -10,4 +10,4 @@
 // different sockets.
 void SetSocketOptions(boost::asio::ip::tcp::socket& socket);
 
-}  // namespace jackdawturn::gateway::platform
+}  // namespace jackdawturn
--- a/programs/jackdawturn/gateway_command.cc
+++ b/programs/jackdawturn/gateway_command.cc
@@ -38,7 +38,9 @@
         m_store(platform::CreateObjectStore(m_context, settings.store)),
         m_host({.name = settings.name,
                 .zone = settings.zone,
-                .seed = std::random_device()()},
+                .seed = std::random_device()(),
+                .relay_address = settings.relay.ToString(),
+                .weight = settings.processor_share},
                {.timers = m_timers,
                 .store = *m_store,
                 .open = platform::CreateBackendOpener(m_context, m_timers),
@@ -52,7 +54,11 @@
 
   Result<int> Run() {
     TRY(m_listener, platform::ClientListener::Create(
-                        m_context, m_settings.clients, m_host));
+                        m_context, m_settings.clients,
+                        ClientSession::Origin::kClient, m_host));
+    TRY(m_relay_listener,
+        platform::ClientListener::Create(m_context, m_settings.relay,
+                                         ClientSession::Origin::kPeer, m_host));
     TRY(m_readiness,
         HttpServer::Create(
             m_context, m_settings.readiness, {},
@@ -117,6 +123,10 @@
     m_metrics.AddGaugeFunction(
         "jackdawturn_sessions", "Sessions of clients.", {},
         [this] { return static_cast<double>(m_listener->sessions()); });
+    m_metrics.AddGaugeFunction(
+        "jackdawturn_relayed_sessions",
+        "Connections of proxies that relay statements to this one.", {},
+        [this] { return static_cast<double>(m_relay_listener->sessions()); });
     m_metrics.AddGaugeFunction(
         "jackdawturn_backend_connections",
         "Connections to instances, in use or idle.", {}, [this] {
@@ -138,9 +148,12 @@
 
   void CloseSessions() {
     m_listener->CloseIdleSessions();
-    if (m_listener->sessions() == 0 || m_timers.now() >= m_drain_ends) {
+    m_relay_listener->CloseIdleSessions();
+    const size_t sessions =
+        m_listener->sessions() + m_relay_listener->sessions();
+    if (sessions == 0 || m_timers.now() >= m_drain_ends) {
       m_log.Belief(EventKind::kProcess, GroupName(), "drained", "",
-                   {{"sessions", std::to_string(m_listener->sessions())}});
+                   {{"sessions", std::to_string(sessions)}});
       m_context.stop();
       return;
     }
@@ -156,6 +169,8 @@
   std::unique_ptr<MetadataStore> m_store;
   GatewayHost m_host;
   std::unique_ptr<platform::ClientListener> m_listener;
+  // Serves other proxies.
+  std::unique_ptr<platform::ClientListener> m_relay_listener;
   std::unique_ptr<HttpServer> m_readiness;
   std::unique_ptr<HttpServer> m_metrics_server;
   TimePoint m_drain_ends;
--- a/tests/gateway/fake_group.h
+++ b/tests/gateway/fake_group.h
@@ -59,6 +59,10 @@
 
   // Every order to promote, with its token.
   std::vector<std::pair<InstanceName, uint64_t>> promotions;
+  // From a command to its answer.
+  Duration answer_time = kAnswerTime;
+  // Connections that were opened to instances.
+  size_t opened = 0;
   // Runs before an order to promote takes effect.
   std::function<void()> before_promotion;
 
@@ -85,8 +89,9 @@
   void Send(std::vector<BackendCommand> commands,
             OnReplies on_replies) override {
     m_group.m_timers.After(
-        kAnswerTime, [this, alive = m_alive, commands = std::move(commands),
-                      on_replies = std::move(on_replies)] {
+        m_group.answer_time,
+        [this, alive = m_alive, commands = std::move(commands),
+         on_replies = std::move(on_replies)] {
           if (*alive)
             Run(commands, on_replies);
         });
@@ -198,6 +203,7 @@
                        const Error error{ErrorCode::kExhausted, "fake", "", ""};
                        return on_open(error);
                      }
+                     ++opened;
                      on_open(std::unique_ptr<BackendSession>(
                          std::make_unique<Session>(*this, instance)));
                    });
@@ -314,7 +320,7 @@
 
   std::shared_ptr<ClientSession> Open(const std::string& database) {
     return ClientSession::Create(
-        context, database,
+        context, database, ClientSession::Origin::kClient,
         [this](const ClientReply& reply) { replies.push_back(reply); });
   }
 
@@ -331,8 +337,12 @@
   GatewayLog log{nullptr, metrics, VmName("vm")};
   ServerDirectory directory;
   BackendPool pool{timers, group.Opener(), {}};
+  BackendPool peer_pool{timers, group.Opener(), {}};
+  PeerDirectory peers{VmName("vm"), ZoneName("z")};
   GatewayContext context{.timers = timers,
                          .pool = pool,
+                         .peer_pool = peer_pool,
+                         .peers = peers,
                          .directory = directory,
                          .log = log,
                          .zone = ZoneName("z")};
--- a/tests/gateway/host_test.cc
+++ b/tests/gateway/host_test.cc
@@ -22,8 +22,10 @@
     ++lists;
     if (collection == RecordCollection::kConfiguration)
       on_configuration = std::move(on_list);
-    else
+    else if (collection == RecordCollection::kServers)
       on_servers = std::move(on_list);
+    else
+      on_peers = std::move(on_list);
   }
   void Watch(RecordCollection collection,
              uint64_t revision,
@@ -39,6 +41,7 @@
   uint64_t watched_from = 0;
   std::function<void(Result<RecordList>)> on_configuration;
   std::function<void(Result<RecordList>)> on_servers;
+  std::function<void(Result<RecordList>)> on_peers;
   std::function<void(Result<RecordChanges>)> on_server_changes;
 };
 
--- /dev/null
+++ b/tests/gateway/peers_test.cc
@@ -0,0 +1,192 @@
+#include <string>
+#include <vector>
+
+#include "gateway/fake_group.h"
+
+#include "support/table_test.h"
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+
+const TimePoint kStart{std::chrono::hours(1)};
+const GroupName kGroup("loans");
+
+Peer PeerOf(const std::string& name, const std::string& zone) {
+  Peer peer;
+  peer.name = VmName(name);
+  peer.zone = ZoneName(zone);
+  peer.relay_address = "10.0.0.1:1";
+  return peer;
+}
+
+// `count` proxies in each of the zones "a", "b" and "c": "a0", "a1", ...
+std::vector<Peer> Fleet(size_t count) {
+  std::vector<Peer> peers;
+  for (const char* zone : {"a", "b", "c"}) {
+    for (size_t index = 0; index < count; ++index)
+      peers.push_back(PeerOf(zone + std::to_string(index), zone));
+  }
+  return peers;
+}
+
+PeerDirectory DirectoryOf(const std::string& self, std::vector<Peer> peers) {
+  PeerDirectory directory(VmName(self), ZoneName(self.substr(0, 1)));
+  directory.Replace(std::move(peers));
+  return directory;
+}
+
+}  // namespace
+
+// Relays where connections would do cost time; connections where relays would
+// do leave most proxies without any (86 proxies before instances that take 26).
+struct RelayCase {
+  size_t proxies_in_a_zone;
+  size_t instance_connections;
+  bool relays;
+};
+
+static const RelayCase kRelays[] = {
+    {2, 16, false}, {4, 32, false}, {29, 26, true},
+    {23, 98, true}, {5, 0, false},
+};
+
+TABLE_TEST(gateway_peers, relays_when_connections_are_too_few, kRelays) {
+  const RelayCase& row = kRelays[*row_index];
+  const auto directory = DirectoryOf("a0", Fleet(row.proxies_in_a_zone));
+  cr_assert_eq(directory.Relays(row.instance_connections), row.relays);
+}
+
+// Without one holder in each zone, proxies open more connections than an
+// instance takes, or a zone that is cut off has none.
+Test(gateway_peers, one_proxy_of_each_zone_holds_a_group) {
+  constexpr size_t kConnections = 26;
+  const auto fleet = Fleet(29);
+  std::map<ZoneName, size_t> holders;
+  size_t connections = 0;
+  for (const Peer& peer : fleet) {
+    auto directory = DirectoryOf(peer.name.value(), fleet);
+    if (!directory.Holds(kGroup, kConnections))
+      continue;
+    ++holders[peer.zone];
+    connections += directory.ConnectionLimit(kGroup, kConnections);
+  }
+  cr_assert_eq(holders.size(), 3U);
+  for (const auto& [zone, count] : holders)
+    cr_expect_eq(count, 1U);
+  cr_expect_lt(connections, kConnections);
+}
+
+// All proxies of a zone must choose the same holder, and another one when that
+// fails or leaves.
+Test(gateway_peers, holder_that_fails_or_leaves_is_passed_over) {
+  auto fleet = Fleet(29);
+  auto directory = DirectoryOf("a0", fleet);
+  const Peer* first = directory.ChooseHolder(kGroup, {}, kStart);
+  cr_assert_not_null(first);
+  const VmName first_name = first->name;
+  cr_expect_eq(first->zone, ZoneName("a"));
+
+  directory.Suspect(first_name, kStart);
+  const Peer* second = directory.ChooseHolder(kGroup, {}, kStart + 1ms);
+  cr_assert_not_null(second);
+  cr_expect_neq(second->name, first_name);
+  cr_expect_eq(
+      directory.ChooseHolder(kGroup, {}, kStart + PeerDirectory::kSuspectTime)
+          ->name,
+      first_name);
+
+  Peer leaving = PeerOf(first_name.value(), "a");
+  leaving.leaving = true;
+  directory.Update(leaving);
+  cr_expect_neq(directory.ChooseHolder(kGroup, {}, kStart + 1h)->name,
+                first_name);
+}
+
+// A VM that is gone for good must not cost a request every few seconds, and a
+// process that has started again must be used at once.
+Test(gateway_peers, suspicion_lasts_longer_with_each_failure) {
+  auto directory = DirectoryOf("a0", Fleet(29));
+  const VmName holder = directory.ChooseHolder(kGroup, {}, kStart)->name;
+  TimePoint now = kStart;
+  for (const Duration time : {1'500ms, 3'000ms, 6'000ms}) {
+    directory.Suspect(holder, now);
+    directory.Suspect(holder, now + 1ms);
+    cr_expect_neq(directory.ChooseHolder(kGroup, {}, now + time - 1ms)->name,
+                  holder);
+    now += time;
+    cr_expect_eq(directory.ChooseHolder(kGroup, {}, now)->name, holder);
+  }
+  directory.Suspect(holder, now);
+  Peer restarted = PeerOf(holder.value(), "a");
+  restarted.incarnation = 7;
+  directory.Update(restarted);
+  cr_expect_eq(directory.ChooseHolder(kGroup, {}, now)->name, holder);
+}
+
+// When every proxy of the zone fails, another zone's holder serves; a proxy
+// that is itself next in the order serves by itself.
+Test(gateway_peers, other_zones_come_after_the_own_one) {
+  auto directory = DirectoryOf("a0", Fleet(2));
+  std::set<VmName> avoided = {VmName("a1")};
+  const Peer* chosen = directory.ChooseHolder(kGroup, avoided, kStart);
+  cr_assert(!chosen || chosen->zone != ZoneName("a"));
+}
+
+// Processors differ in size; a proxy with four times the share of another one
+// holds about four times as many groups.
+Test(gateway_peers, work_follows_the_weight) {
+  std::vector<Peer> fleet = {PeerOf("a0", "a"), PeerOf("a1", "a"),
+                             PeerOf("a2", "a")};
+  fleet[0].weight = 0.5;
+  fleet[1].weight = fleet[2].weight = 0.125;
+  auto directory = DirectoryOf("a0", fleet);
+  size_t held = 0;
+  constexpr size_t kGroups = 3'000;
+  for (size_t index = 0; index < kGroups; ++index)
+    held += directory.Holds(GroupName(std::to_string(index)), 1) ? 1 : 0;
+  cr_expect_gt(held, kGroups * 6 / 10);
+  cr_expect_lt(held, kGroups * 73 / 100);
+}
+
+// A record that is not understood names no proxy.
+static const char* const kBadPeers[] = {
+    "", "{}", R"({"zone":"a"})",
+    R"({"zone":"a","relay_address":"x","weight":0,"leaving":false,)"
+    R"("incarnation":1})",
+    R"({"zone":"a","relay_address":"x","weight":1,"leaving":"no",)"
+    R"("incarnation":1})"};
+
+TABLE_TEST(gateway_peers, bad_records, kBadPeers) {
+  cr_assert(!DecodePeer("p", kBadPeers[*row_index]).has_value());
+}
+
+Test(gateway_peers, records_and_targets_survive_their_encoding) {
+  Peer peer = PeerOf("a0", "a");
+  peer.weight = 0.25;
+  peer.leaving = true;
+  peer.incarnation = 9;
+  const auto decoded = DecodePeer("a0", EncodePeer(peer));
+  cr_assert(decoded.has_value());
+  cr_expect_eq(decoded.value().zone, peer.zone);
+  cr_expect_eq(decoded.value().weight, 0.25);
+  cr_expect(decoded.value().leaving);
+  cr_expect_eq(decoded.value().incarnation, 9U);
+
+  const RelayTarget target{VmName("a0"), "db/x", 12};
+  const auto parsed = RelayTarget::Parse(target.ToInstanceName().value());
+  cr_assert(parsed.has_value());
+  cr_expect_eq(parsed.value().peer, target.peer);
+  cr_expect(parsed.value().database == "db/x");
+  cr_expect_eq(parsed.value().route_version, 12U);
+}
+
+static const char* const kBadTargets[] = {"", "a", "a/1", "a/x/db", "a//db"};
+
+TABLE_TEST(gateway_peers, bad_targets, kBadTargets) {
+  cr_assert(!RelayTarget::Parse(kBadTargets[*row_index]).has_value());
+}
+
+}  // namespace jackdawturn::gateway
--- a/tests/gateway/sessions_test.cc
+++ b/tests/gateway/sessions_test.cc
@@ -174,4 +174,23 @@
   cr_assert_eq(rig.replies.back().code, ReplyCode::kDone);
 }
 
+// Load pattern: a slow instance. Closing the connections of reads that went on
+// elsewhere made new ones, and each takes one of the instance's slots while it
+// opens (seen on days of the grown sites).
+Test(gateway_sessions, late_answer_gives_the_connection_back) {
+  GatewayRig rig;
+  rig.ObservePrimary();
+  rig.group.answer_time = 200ms;
+  const auto session = rig.Open("aged");
+  session->Handle(Read());
+  rig.timers.Advance(1s);
+  cr_assert_eq(rig.replies.size(), 1U);
+  const size_t opened = rig.group.opened;
+  rig.group.answer_time = FakeGroup::kAnswerTime;
+  session->Handle(Read());
+  rig.timers.Advance(20ms);
+  cr_expect_eq(rig.replies.back().code, ReplyCode::kDone);
+  cr_expect_eq(rig.group.opened, opened);
+}
+
 }  // namespace jackdawturn::gateway
--- a/tests/platform/codecs_test.cc
+++ b/tests/platform/codecs_test.cc
@@ -119,6 +119,7 @@
     R"({"NodeName":"f-1","Zone":"z-a","Ip":"10.1.0.8","Future":{},)"
     R"("ListenAddrs":{"Frontend":"10.1.0.8:8784","Ready":"10.1.0.8:8785"},)"
     R"("InternalPorts":[7440,7455],"Bounds":{"GraceS":6.5},)"
+    R"("Limits":{"CpuQuota":0.25},)"
     R"("platform":{"Addr":"10.200.1.7:8783"},)"
     R"("CloudApi":{"Addr":"10.200.0.160:8783"}})";
 
@@ -134,7 +135,8 @@
 // A file that misses a member must not start a proxy with a guess.
 static const char* const kMembers[] = {"NodeName", "Zone",     "Ip",
                                        "Frontend", "Ready",    "InternalPorts",
-                                       "GraceS",   "platform", "CloudApi"};
+                                       "GraceS",   "CpuQuota", "platform",
+                                       "CloudApi"};
 
 TABLE_TEST(platform_settings, missing_member, kMembers) {
   std::string text = kSettings;
