--- a/tests/platform/codecs_test.cc
+++ b/tests/platform/codecs_test.cc
@@ -133,10 +133,9 @@
 }
 
 // A file that misses a member must not start a proxy with a guess.
-static const char* const kMembers[] = {"NodeName", "Zone",     "Ip",
-                                       "Frontend", "Ready",    "InternalPorts",
-                                       "GraceS",   "CpuQuota", "platform",
-                                       "CloudApi"};
+static const char* const kMembers[] = {
+    "NodeName",      "Zone",   "Ip",       "Frontend", "Ready",
+    "InternalPorts", "GraceS", "CpuQuota", "platform", "CloudApi"};
 
 TABLE_TEST(platform_settings, missing_member, kMembers) {
   std::string text = kSettings;
