Gateway: Ignore a probe of the holder whose request has ended

Cause: an answer that came while the holder was probed ended the request, and the answer of the probe then set a timer for it that used its connection. The test crashed without the change.

--- a/libraries/gateway/relay_run.cc
+++ b/libraries/gateway/relay_run.cc
@@ -165,6 +165,8 @@
 }
 
 void RelayRun::Replied(Result<std::vector<BackendReply>> replies) {
+  // A probe that is still on its way has nothing to say any more.
+  ++m_batch;
   m_context.timers.Cancel(m_silence_timer);
   if (!replies)
     return Unanswered(replies.error().message);
@@ -180,6 +182,7 @@
 }
 
 void RelayRun::Unanswered(const std::string& reason) {
+  // An answer that still comes is ignored.
   ++m_batch;
   m_context.timers.Cancel(m_silence_timer);
   m_context.peer_pool.Discard(std::move(m_connection));
--- a/tests/gateway/relay_test.cc
+++ b/tests/gateway/relay_test.cc
@@ -399,4 +399,19 @@
   cr_expect_eq(rig.replies.back().code, ReplyCode::kUnknown);
 }
 
+// An answer that comes while the holder is asked whether it lives ended the
+// process: the answer of the probe then met a request that was over.
+Test(gateway_relay, answer_comes_while_the_holder_is_probed) {
+  for (Duration answer_time = 190ms; answer_time < 205ms;
+       answer_time += 250us) {
+    RelayRig rig;
+    rig.holder.group.answer_time = answer_time;
+    const auto session = rig.Open("own");
+    session->Handle(StatementOf(Kind::kWrite, "WRITE 1 x"));
+    rig.holder.timers.Advance(2s);
+    cr_assert_eq(rig.replies.size(), 1U);
+    cr_expect_eq(rig.replies.back().code, ReplyCode::kDone);
+  }
+}
+
 }  // namespace jackdawturn::gateway
