--- a/libraries/gateway/backend_pool.cc
+++ b/libraries/gateway/backend_pool.cc
@@ -10,7 +10,7 @@
                          Options options)
     : m_timers(timers),
       m_open(std::move(open)),
-      m_options(options),
+      m_options(std::move(options)),
       m_self(std::make_shared<BackendPool*>(this)) {}
 
 BackendPool::~BackendPool() {
