--- a/tests/gateway/fake_group.h
+++ b/tests/gateway/fake_group.h
@@ -318,6 +318,9 @@
       directory.Update(group.At(id).server);
   }
 
+  // Actions that are due later hold connections to the group's instances.
+  ~GatewayRig() { timers.Clear(); }
+
   std::shared_ptr<ClientSession> Open(const std::string& database) {
     return ClientSession::Create(
         context, database, ClientSession::Origin::kClient,
--- a/tests/gateway/virtual_timers.h
+++ b/tests/gateway/virtual_timers.h
@@ -24,6 +24,13 @@
     });
   }
 
+  // Drops what is not due yet, so that nothing it holds outlives the test.
+  void Clear() {
+    while (!m_actions.empty()) {
+      const auto dropped = std::exchange(m_actions, {});
+    }
+  }
+
   // Runs everything that is due within `time`.
   void Advance(Duration time) {
     const TimePoint end = m_now + time;
