Gateway: End watches of the configuration after 2.5 s again

While the store drops its history a watch hears nothing until it ends, and let it wait 10 s. Only the list of proxies is watched that long now. The test failed with 10 s.

--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -26,6 +26,7 @@
 constexpr Duration kObserverPatience = 1'200ms;
 constexpr Duration kObserverSpread = 2s;
 // A list of peers that is this old costs a detour, nothing else.
+constexpr Duration kPeerWatchWait = 10s;
 constexpr Duration kPeerSettleTime = 1s;
 constexpr Duration kPeerOpenTimeout = 150ms;
 constexpr Duration kPeerIdleTime = 5s;
@@ -76,7 +77,7 @@
                    {[this](const RecordList& list) { PeersListed(list); },
                     [this](const RecordChange& change) { PeerChanged(change); },
                     [this](const Error* lost) { StoreContact("peers", lost); }},
-                   {.settle = kPeerSettleTime}),
+                   {.wait = kPeerWatchWait, .settle = kPeerSettleTime}),
       m_registration(m_ports.store,
                      m_ports.timers,
                      log,
--- a/libraries/gateway/store_sync.h
+++ b/libraries/gateway/store_sync.h
@@ -11,9 +11,9 @@
 
 // How often the store is asked.
 struct WatchPace {
-  // A watch without changes ends after this time. The store's connections
-  // have keepalive, so a silent one ends sooner.
-  Duration wait = std::chrono::seconds(10);
+  // A watch without changes ends after this time. While the store drops its
+  // history, a watch hears nothing of changes until it ends.
+  Duration wait = std::chrono::milliseconds(2'500);
   // After a change, the next watch begins this much later, so that changes
   // in quick succession are answered together.
   Duration settle{0};
--- a/tests/gateway/host_test.cc
+++ b/tests/gateway/host_test.cc
@@ -29,14 +29,17 @@
   }
   void Watch(RecordCollection collection,
              uint64_t revision,
-             Duration,
+             Duration wait,
              std::function<void(Result<RecordChanges>)> on_changes) override {
+    waits[collection] = wait;
     if (collection != RecordCollection::kServers)
       return;
     watched_from = revision;
     on_server_changes = std::move(on_changes);
   }
 
+  // How long the last watch of each collection may hear nothing.
+  std::map<RecordCollection, Duration> waits;
   size_t lists = 0;
   uint64_t watched_from = 0;
   std::function<void(Result<RecordList>)> on_configuration;
@@ -138,4 +141,19 @@
   cr_expect_lt(calls, 50U);
 }
 
+// While the store drops its history, a watch hears nothing of a new
+// configuration until it ends; with waits of 10 s, new databases were refused
+// after the 3 s within which a configuration must be in force (hunts of both
+// sites, nine days of 80).
+Test(gateway_host, watches_end_before_a_configuration_must_be_in_force) {
+  HostRig rig;
+  rig.Configure("1");
+  rig.store.on_servers(RecordList{{}, 5});
+  for (const auto collection :
+       {RecordCollection::kConfiguration, RecordCollection::kServers}) {
+    cr_assert(rig.store.waits.contains(collection));
+    cr_expect_lt(rig.store.waits[collection].count(), Duration(3s).count());
+  }
+}
+
 }  // namespace jackdawturn::gateway
