--- a/libraries/gateway/store_sync.cc
+++ b/libraries/gateway/store_sync.cc
@@ -11,8 +11,8 @@
 
 constexpr Duration kListTimeout = 1'500ms;
 constexpr Duration kFirstRetry = 50ms;
-constexpr Duration kLongestRetry = 1'600ms;
-constexpr unsigned kRetryDoublings = 5;
+constexpr Duration kLongestRetry = 800ms;
+constexpr unsigned kRetryDoublings = 4;
 
 }  // namespace
 
