--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -22,5 +22,4 @@
 #include "gateway/statement_run.h"     // IWYU pragma: export
 #include "gateway/store_sync.h"        // IWYU pragma: export
 #include "gateway/timers.h"            // IWYU pragma: export
-#include "gateway/zone_probe.h"        // IWYU pragma: export
 #include "gateway/zone_reach.h"        // IWYU pragma: export
--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -50,8 +50,6 @@
   // Since when no instance of another zone can be reached; nothing while one
   // can.
   std::optional<TimePoint> isolated_since;
-  // When another zone last seemed to be out of reach.
-  std::optional<TimePoint> isolation_hint;
   // When an instance last left its group with its log. Before this proxy
   // started, one may have left at any time.
   std::map<GroupName, TimePoint> departures;
--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -50,7 +50,6 @@
                 .directory = m_directory,
                 .log = m_log,
                 .zone = m_options.zone},
-      m_zone_probe(m_context, m_options.seed + 5),
       m_configuration_sync(
           m_ports.store,
           m_ports.timers,
@@ -335,9 +334,7 @@
 void GatewayHost::CheckIsolation() {
   const TimePoint now = m_ports.timers.now();
   const auto remote = m_directory.OutsideZone(m_options.zone);
-  m_zone_probe.Tick();
-  const bool isolated =
-      m_context.reach.Isolated(remote, now) || m_zone_probe.isolated();
+  const bool isolated = m_context.reach.Isolated(remote, now);
   if (isolated == m_context.isolated_since.has_value())
     return;
   m_context.isolated_since = isolated ? std::optional(now) : std::nullopt;
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -14,7 +14,6 @@
 #include "gateway/peer_registration.h"
 #include "gateway/primary_change.h"
 #include "gateway/store_sync.h"
-#include "gateway/zone_probe.h"
 
 namespace jackdawturn::gateway {
 
@@ -126,7 +125,6 @@
   ServerDirectory m_directory;
   GatewayLog& m_log;
   GatewayContext m_context;
-  ZoneProbe m_zone_probe;
   StoreSync m_configuration_sync;
   StoreSync m_servers_sync;
   StoreSync m_peers_sync;
--- a/libraries/gateway/peer_directory.cc
+++ b/libraries/gateway/peer_directory.cc
@@ -198,15 +198,6 @@
   return nullptr;
 }
 
-std::vector<const Peer*> PeerDirectory::OutsideZone() const {
-  std::vector<const Peer*> peers;
-  for (const auto& [name, peer] : m_peers) {
-    if (peer.zone != m_zone && !peer.leaving)
-      peers.push_back(&peer);
-  }
-  return peers;
-}
-
 const Peer* PeerDirectory::Find(const VmName& name) const {
   const auto found = m_peers.find(name);
   return found == m_peers.end() ? nullptr : &found->second;
--- a/libraries/gateway/peer_directory.h
+++ b/libraries/gateway/peer_directory.h
@@ -79,9 +79,6 @@
                            const std::set<VmName>& avoided,
                            TimePoint now);
 
-  // Returns the proxies of other zones that are not leaving.
-  std::vector<const Peer*> OutsideZone() const;
-
   // Returns the peer of that name, or null.
   const Peer* Find(const VmName& name) const;
 
--- a/libraries/gateway/relay_run.cc
+++ b/libraries/gateway/relay_run.cc
@@ -89,21 +89,13 @@
   const Error& error = connection.error();
   if (error.code == ErrorCode::kUnavailable ||
       error.code == ErrorCode::kTimeout)
-    SuspectHolder();
+    m_context.peers.Suspect(m_holder, m_context.timers.now());
   Log("no_relay",
       {{"reason", error.step}, {"error", std::string(ToString(error.code))}});
   m_avoided.insert(m_holder);
   Place();
 }
 
-void RelayRun::SuspectHolder() {
-  const TimePoint now = m_context.timers.now();
-  m_context.peers.Suspect(m_holder, now);
-  const Peer* holder = m_context.peers.Find(m_holder);
-  if (holder && holder->zone != m_context.zone)
-    m_context.isolation_hint = now;
-}
-
 void RelayRun::RunDirectly() {
   Log("relay_bypassed", {});
   m_direct = StatementRun::Create(m_context, std::move(m_input),
@@ -154,7 +146,7 @@
 void RelayRun::Probed(const Result<void>& answer) {
   // A holder that refuses a new connection lives as well.
   if (!answer && answer.error().code != ErrorCode::kExhausted) {
-    SuspectHolder();
+    m_context.peers.Suspect(m_holder, m_context.timers.now());
     return Unanswered("the holder is silent");
   }
   // The instances are slow, and another holder would find the same.
@@ -212,8 +204,6 @@
       (reply.code == ReplyCode::kBusy &&
        (reply.message == kZoneIsolated || reply.message == kNoInstance));
   const bool keeps = m_input.in_transaction() && !m_input.is_commit();
-  if (other_may_serve && reply.message == kZoneIsolated)
-    m_context.isolation_hint = m_context.timers.now();
   if (!done && other_may_serve && m_first && !m_input.is_commit()) {
     Log("retry", {{"code", std::string(ToString(reply.code))},
                   {"message", reply.message}});
--- a/libraries/gateway/relay_run.h
+++ b/libraries/gateway/relay_run.h
@@ -27,8 +27,6 @@
 
   void Place();
   void Acquired(Result<BackendPool::ConnectionPtr> connection);
-  // The holder does not answer.
-  void SuspectHolder();
   // Runs the statement at an instance, without a relay.
   void RunDirectly();
   void Send();
