Gateway: Note departures that a list shows, and release abandoned claims

When the store has dropped its history, the list that makes up for it replaced the directory's content without noting that an instance had left or started again with an empty log, so a change of primary right after it could miss the rule that protects acknowledged commits.

Change: a list goes through the same steps as single changes; both ends give the claim back.

--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -1,6 +1,7 @@
 #include "gateway/gateway_host.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace jackdawturn::gateway {
@@ -172,35 +173,42 @@
 }
 
 void GatewayHost::ServersListed(const RecordList& list) {
-  std::vector<BackendServer> servers;
+  std::set<InstanceName> unlisted = m_directory.Known();
+  size_t listed = 0;
   for (const StoredRecord& record : list.records) {
-    if (auto server = DecodeServer(record))
-      servers.push_back(std::move(*server));
+    const auto server = DecodeServer(record);
+    if (!server)
+      continue;
+    ++listed;
+    unlisted.erase(server->id);
+    UpdateServer(*server);
   }
-  m_directory.Replace(servers, m_ports.timers.now());
+  for (const InstanceName& id : unlisted)
+    ServerUnlisted(id, list.revision);
   m_servers_known = true;
   m_log.Belief(EventKind::kMembership, GroupName(), "listed", "",
-               {{"instances", std::to_string(servers.size())},
+               {{"instances", std::to_string(listed)},
                 {"revision", std::to_string(list.revision)}});
 }
 
 void GatewayHost::ServerChanged(const RecordChange& change) {
-  const TimePoint now = m_ports.timers.now();
-  if (change.removed) {
-    const InstanceName id(change.record.name);
-    m_log.Belief(EventKind::kMembership, GroupName(), "unlisted", id.value(),
-                 {{"revision", std::to_string(change.record.revision)}});
-    const BackendServer* known = m_directory.Find(id);
-    const GroupName group = known ? known->group : GroupName();
-    m_directory.Remove(id, now);
-    if (!m_directory.Find(id))
-      ForgetServer(group, id);
-    return;
-  }
+  if (change.removed)
+    return ServerUnlisted(InstanceName(change.record.name),
+                          change.record.revision);
   if (const auto server = DecodeServer(change.record))
     UpdateServer(*server);
 }
 
+void GatewayHost::ServerUnlisted(const InstanceName& id, uint64_t revision) {
+  m_log.Belief(EventKind::kMembership, GroupName(), "unlisted", id.value(),
+               {{"revision", std::to_string(revision)}});
+  const BackendServer* known = m_directory.Find(id);
+  const GroupName group = known ? known->group : GroupName();
+  m_directory.Remove(id, m_ports.timers.now());
+  if (!m_directory.Find(id))
+    ForgetServer(group, id);
+}
+
 std::optional<BackendServer> GatewayHost::DecodeServer(
     const StoredRecord& record) {
   auto server = m_ports.decode_server(record);
@@ -213,6 +221,8 @@
 
 void GatewayHost::UpdateServer(const BackendServer& server) {
   const BackendServer* known = m_directory.Find(server.id);
+  if (known && server.revision < known->revision)
+    return;
   if (!known || known->role != server.role ||
       known->draining != server.draining || known->born != server.born) {
     m_log.Belief(
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -95,6 +95,8 @@
   void ConfigurationChanged(const StoredRecord& record);
   void ServersListed(const RecordList& list);
   void ServerChanged(const RecordChange& change);
+  // The registry no longer lists the instance since `revision`.
+  void ServerUnlisted(const InstanceName& id, uint64_t revision);
   // Returns nothing, with a log line, for an entry that is not understood.
   std::optional<BackendServer> DecodeServer(const StoredRecord& record);
   void UpdateServer(const BackendServer& server);
--- a/libraries/gateway/primary_change.cc
+++ b/libraries/gateway/primary_change.cc
@@ -291,8 +291,10 @@
 }
 
 void PrimaryChange::PauseReplicas() {
-  if (!MembersUnchanged())
+  if (!MembersUnchanged()) {
+    Release();
     return End(Outcome::kFailed, "the group's instances have changed");
+  }
   for (const auto& [id, member] : m_members) {
     if (member.status)
       m_pause_term = std::max(
@@ -303,8 +305,10 @@
     std::vector<MemberStatus> lasting = Replicas();
     std::erase_if(lasting, [](const auto& member) { return member.draining; });
     const auto chosen = ChooseNewPrimary(lasting);
-    if (!chosen)
+    if (!chosen) {
+      Release();
       return End(Outcome::kNotPossible, "every replica is leaving");
+    }
     m_candidate = *chosen;
   }
   std::vector<Member*> paused;
--- a/libraries/gateway/server_directory.cc
+++ b/libraries/gateway/server_directory.cc
@@ -36,22 +36,6 @@
     found->second.lapsed_at = now;
 }
 
-void ServerDirectory::Replace(const std::vector<BackendServer>& servers,
-                              TimePoint now) {
-  std::set<InstanceName> listed;
-  for (const BackendServer& server : servers) {
-    listed.insert(server.id);
-    Update(server);
-  }
-  std::vector<InstanceName> missing;
-  for (const auto& [id, entry] : m_entries) {
-    if (!listed.contains(id))
-      missing.push_back(id);
-  }
-  for (const InstanceName& id : missing)
-    Remove(id, now);
-}
-
 std::vector<BackendServer> ServerDirectory::Expire(TimePoint now) {
   std::vector<BackendServer> gone;
   for (auto entry = m_entries.begin(); entry != m_entries.end();) {
@@ -130,6 +114,13 @@
   return instances;
 }
 
+std::set<InstanceName> ServerDirectory::Known() const {
+  std::set<InstanceName> ids;
+  for (const auto& [id, entry] : m_entries)
+    ids.insert(id);
+  return ids;
+}
+
 const BackendServer* ServerDirectory::Find(const InstanceName& id) const {
   const auto found = m_entries.find(id);
   return found == m_entries.end() ? nullptr : &found->second.server;
--- a/libraries/gateway/server_directory.h
+++ b/libraries/gateway/server_directory.h
@@ -25,9 +25,6 @@
   // store that this proxy did not notice.
   void Remove(const InstanceName& id, TimePoint now);
 
-  // The registry's whole content; every other instance is removed.
-  void Replace(const std::vector<BackendServer>& servers, TimePoint now);
-
   // Removes instances whose time for a return has passed, and returns them.
   // Precondition: the store is in contact, so that a return would be seen.
   std::vector<BackendServer> Expire(TimePoint now);
@@ -44,6 +41,8 @@
   // Returns all instances of the group, also those that leave.
   std::vector<const BackendServer*> All(const GroupName& group) const;
   const BackendServer* Find(const InstanceName& id) const;
+  // Returns the ids of all instances.
+  std::set<InstanceName> Known() const;
   // Returns the instances of all groups in other availability zones.
   std::vector<InstanceName> OutsideZone(const ZoneName& zone) const;
 
--- a/tests/gateway/fake_group.h
+++ b/tests/gateway/fake_group.h
@@ -262,6 +262,8 @@
               const std::string& body,
               Duration,
               OnRecord on_record) override {
+    if (before_update)
+      before_update();
     const auto found = m_records.find(name);
     const uint64_t present =
         found == m_records.end() ? 0 : found->second.revision;
@@ -280,6 +282,8 @@
 
   // The next update takes effect without an answer.
   bool lose_next_answer = false;
+  // Runs before an update takes effect; null: nothing runs.
+  std::function<void()> before_update;
 
  private:
   void Answer(OnRecord on_record, Result<StoredRecord> result) {
--- a/tests/gateway/host_test.cc
+++ b/tests/gateway/host_test.cc
@@ -1,3 +1,4 @@
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,8 @@
     server.id = InstanceName(record.name);
     server.group = GroupName("loans");
     server.revision = record.revision;
+    server.draining = record.body == "leaving";
+    server.born = record.body == "restarted" ? 2 : 1;
     return server;
   }
 
@@ -125,6 +128,39 @@
   cr_assert_eq(rig.store.lists, lists + 1);
 }
 
+// An instance that left, or started again with an empty log, while the store
+// dropped its history may have had the only copy of a commit. The list that
+// makes up for it must tell of the departure like a watch does.
+struct MissedCase {
+  const char* before;
+  // Nothing when the instance is no longer listed.
+  std::optional<const char*> after;
+  bool departed;
+};
+
+static const MissedCase kMissed[] = {
+    {"leaving", std::nullopt, true},
+    {"", "restarted", true},
+    {"", "", false},
+    // It may be back within ServerDirectory::kReturnTime.
+    {"", std::nullopt, false},
+};
+
+TABLE_TEST(gateway_host, list_tells_of_missed_departures, kMissed) {
+  const MissedCase& row = kMissed[*row_index];
+  HostRig rig;
+  rig.store.on_servers(RecordList{{{"a", 3, row.before}, {"b", 4, ""}}, 5});
+  const Error gone{ErrorCode::kNotFound, "fake", "", "410"};
+  rig.store.on_server_changes(gone);
+  rig.timers.Advance(1s);
+  RecordList list{{{"b", 4, ""}}, 9};
+  if (row.after)
+    list.records.push_back({"a", 8, *row.after});
+  rig.store.on_servers(list);
+  cr_expect_eq(rig.host.context().departures.contains(GroupName("loans")),
+               row.departed);
+}
+
 // Proxies that lost the store together must not return to it at one moment.
 Test(gateway_host, retries_after_an_outage_are_spread_and_bounded) {
   HostRig rig;
--- a/tests/gateway/primary_change_test.cc
+++ b/tests/gateway/primary_change_test.cc
@@ -179,6 +179,52 @@
   cr_assert_eq(rig.results.front(), PrimaryChange::Outcome::kPromoted);
 }
 
+// A change that ends after its claim gives the claim back: another proxy would
+// otherwise wait for PrimaryChange::kClaimTime.
+struct AbandonedCase {
+  Kind kind;
+  // Both replicas are leaving; otherwise an instance joins during the claim.
+  bool all_leave;
+};
+
+static const AbandonedCase kAbandoned[] = {
+    {Kind::kPlanned, true},
+    {Kind::kFailure, false},
+};
+
+TABLE_TEST(gateway_primary_change,
+           claim_of_an_abandoned_change_is_released,
+           kAbandoned) {
+  const AbandonedCase& row = kAbandoned[*row_index];
+  ChangeRig rig;
+  rig.group.At("p").silent = row.kind == Kind::kFailure;
+  const auto leave = [&](bool draining) {
+    for (const char* id : {"a", "b"}) {
+      rig.group.At(id).server.draining = draining;
+      rig.directory.Update(rig.group.At(id).server);
+    }
+  };
+  if (row.all_leave)
+    leave(true);
+  else
+    rig.store.before_update = [&] {
+      rig.directory.Update(
+          rig.group.Add("c", ReplicationRole::kReplica, 9).server);
+    };
+  const auto first = rig.Begin(row.kind, "one");
+  first->Start();
+  rig.timers.Advance(1s);
+  cr_assert_eq(rig.results.size(), 1U);
+  cr_assert_neq(rig.results.front(), PrimaryChange::Outcome::kPromoted);
+  leave(false);
+  rig.store.before_update = nullptr;
+  const auto second = rig.Begin(row.kind, "two");
+  second->Start();
+  rig.timers.Advance(2s);
+  cr_assert_eq(rig.results.size(), 2U);
+  cr_assert_eq(rig.results.back(), PrimaryChange::Outcome::kPromoted);
+}
+
 // An instance at its limit of connections must not block the change when this
 // proxy holds a connection to it (seen as processes that ended by a fault).
 Test(gateway_primary_change, full_replica_lends_a_pooled_connection) {
