Gateway: Keep each group's members in the store for proxies that start later

All proxies were killed and a zone with every primary was cut off while they started. A new process had not seen who had left before, so each change of primary ended with 'commits of an instance that has left may be missing'; nothing was served for 4 s, and a primary that is lost for good then would never have been replaced.

Ruled out: to trust the present list (a replica with the only copy may have left), and to wait for a position of the primary (it is the one that is lost).

Change: proxies that know that the replicas have every acknowledged commit record the group's members, with birth times, primary and term, once per change of members. A process without evidence of its own promotes if none of them has left; the primary may leave while its term lasts.

Not covered: a replica that joins, has the only copy of a commit and leaves within the two seconds before it is recorded, followed by the loss of all proxies and the primary.

--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "gateway/gateway_host.h"       // IWYU pragma: export
 #include "gateway/gateway_log.h"        // IWYU pragma: export
 #include "gateway/gateway_types.h"      // IWYU pragma: export
+#include "gateway/group_members.h"      // IWYU pragma: export
 #include "gateway/metadata_store.h"     // IWYU pragma: export
 #include "gateway/peer_directory.h"     // IWYU pragma: export
 #include "gateway/placement.h"          // IWYU pragma: export
--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -12,6 +12,7 @@
 
 constexpr Duration kTickInterval = 100ms;
 constexpr uint64_t kTicksBetweenSweeps = 2;
+constexpr uint64_t kTicksBetweenRecords = 10;
 // Proxies that see the same reason start one after the other within this time.
 constexpr Duration kStartSpread = 150ms;
 constexpr Duration kRetryAfterOther = 1s;
@@ -103,6 +104,7 @@
                       .weight = m_options.weight,
                       .incarnation = m_options.seed & kIncarnationMask},
                      m_options.seed + 4),
+      m_member_records(m_ports.store, m_ports.timers, log, m_options.seed + 5),
       m_random(m_options.seed) {}
 
 void GatewayHost::Start() {
@@ -476,6 +478,35 @@
   state.primary = primary->id;
 }
 
+void GatewayHost::RecordMembers(const GroupName& group) {
+  if (!m_servers_sync.in_contact())
+    return;
+  const auto departure = m_context.departures.find(group);
+  // A position of an earlier primary says nothing of the present one's term.
+  const TimePoint since =
+      std::max(departure == m_context.departures.end() ? m_context.started
+                                                       : departure->second,
+               m_groups[group].primary_since);
+  const auto required = m_context.positions[group].Covering(since);
+  if (!required)
+    return;
+  const BackendServer* primary = m_directory.Primary(group);
+  GroupMembers members;
+  members.primary = primary->id;
+  members.term = required->term;
+  bool covered = false;
+  for (const BackendServer* server : m_directory.All(group)) {
+    members.born[server->id] = server->born;
+    const auto progress = m_context.progress.find(server->id);
+    covered =
+        covered ||
+        (server->id != primary->id && progress != m_context.progress.end() &&
+         progress->second.applied.value_or(CommitPosition{}) >= *required);
+  }
+  if (covered)
+    m_member_records.Verified(group, members);
+}
+
 void GatewayHost::CheckGroup(const GroupName& group) {
   GroupState& state = m_groups[group];
   const TimePoint now = m_ports.timers.now();
@@ -483,6 +514,8 @@
   const auto reason = FindReason(group);
   if (!reason) {
     state.reason_since.reset();
+    if (m_ticks % kTicksBetweenRecords == 0)
+      RecordMembers(group);
     return;
   }
   if (!state.reason_since) {
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -10,6 +10,7 @@
 
 #include "gateway/client_session.h"
 #include "gateway/gateway_context.h"
+#include "gateway/group_members.h"
 #include "gateway/metadata_store.h"
 #include "gateway/peer_registration.h"
 #include "gateway/primary_change.h"
@@ -122,6 +123,9 @@
   void OpenFailed(const BackendServer& server, const Error& error);
   void CheckGroup(const GroupName& group);
   void NotePrimary(const GroupName& group, GroupState& state);
+  // Keeps the record of the group's members up to date when this proxy knows
+  // that its replicas have every acknowledged commit.
+  void RecordMembers(const GroupName& group);
   std::optional<ChangeReason> FindReason(const GroupName& group) const;
   // Returns whether another primary would let replicas serve reads again.
   bool ReliefNeeded(const GroupName& group, const BackendServer& primary) const;
@@ -142,6 +146,7 @@
   StoreSync m_servers_sync;
   StoreSync m_peers_sync;
   PeerRegistration m_registration;
+  MemberRecords m_member_records;
   std::map<GroupName, GroupState> m_groups;
   // What waits for the first configuration.
   std::vector<std::function<void()>> m_awaiting_configuration;
--- /dev/null
+++ b/libraries/gateway/group_members.cc
@@ -0,0 +1,146 @@
+#include "gateway/group_members.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/json.hpp>
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+
+constexpr const char* kStep = "members.decode";
+constexpr Duration kStoreTimeout = 800ms;
+// Proxies that see the same change write one after the other, so that most find
+// the record as it should be.
+constexpr Duration kLongestDelay = 2s;
+
+}  // namespace
+
+std::string EncodeMembers(const GroupMembers& members) {
+  boost::json::object born;
+  for (const auto& [id, time] : members.born)
+    born[id.value()] = time;
+  return boost::json::serialize(
+      boost::json::object{{"born", std::move(born)},
+                          {"primary", members.primary.value()},
+                          {"term", members.term}});
+}
+
+Result<GroupMembers> DecodeMembers(const std::string& body) {
+  TRY(const boost::json::value value, ParseJson(body, kStep));
+  TRY(const JsonFields fields, JsonFields::Create(value, kStep));
+  GroupMembers members;
+  TRY(const std::string primary, fields.String("primary"));
+  members.primary = InstanceName(primary);
+  TRY(members.term, fields.Number("term"));
+  TRY(const JsonFields born, fields.Object("born"));
+  for (const auto& entry : born.object()) {
+    const std::string id(entry.key());
+    TRY(members.born[InstanceName(id)], born.Number(id));
+  }
+  return members;
+}
+
+bool NoCopyHasLeft(const GroupMembers& recorded,
+                   const std::vector<const BackendServer*>& present,
+                   uint64_t term) {
+  return std::all_of(
+      recorded.born.begin(), recorded.born.end(), [&](const auto& member) {
+        const auto& [id, born] = member;
+        if (id == recorded.primary && term == recorded.term)
+          return true;
+        return std::any_of(present.begin(), present.end(),
+                           [&id = id, born = born](const auto* server) {
+                             return server->id == id && server->born == born;
+                           });
+      });
+}
+
+MemberRecords::MemberRecords(MetadataStore& store,
+                             Timers& timers,
+                             GatewayLog& log,
+                             uint64_t seed)
+    : m_store(store),
+      m_timers(timers),
+      m_log(log),
+      m_random(seed),
+      m_self(std::make_shared<MemberRecords*>(this)) {}
+
+MemberRecords::~MemberRecords() {
+  *m_self = nullptr;
+}
+
+void MemberRecords::Verified(const GroupName& group,
+                             const GroupMembers& members) {
+  Record& record = m_records[group];
+  record.wanted = members;
+  if (record.busy || record.stored == members)
+    return;
+  record.busy = true;
+  m_timers.After(RandomDelay(), [self = m_self, group] {
+    if (*self)
+      (*self)->Read(group);
+  });
+}
+
+void MemberRecords::Read(const GroupName& group) {
+  m_store.Read(RecordCollection::kGroupMembers, group.value(), kStoreTimeout,
+               [self = m_self, group](const Result<StoredRecord>& record) {
+                 if (*self)
+                   (*self)->WasRead(group, record);
+               });
+}
+
+void MemberRecords::WasRead(const GroupName& group,
+                            const Result<StoredRecord>& record) {
+  Record& known = m_records[group];
+  known.busy = false;
+  if (!record) {
+    // Any other error is met again when the group is verified the next time.
+    if (record.error().code == ErrorCode::kNotFound)
+      return Write(group, 0);
+    return m_log.Belief(EventKind::kMembership, group, "members_unread", "",
+                        {{"error", record.error().message}});
+  }
+  const auto members = DecodeMembers(record.value().body);
+  if (members)
+    known.stored = members.value();
+  if (known.stored != known.wanted)
+    Write(group, record.value().revision);
+}
+
+void MemberRecords::Write(const GroupName& group, uint64_t expected) {
+  m_records[group].busy = true;
+  m_store.Update(RecordCollection::kGroupMembers, group.value(), expected,
+                 EncodeMembers(m_records[group].wanted), kStoreTimeout,
+                 [self = m_self, group](const Result<StoredRecord>& record) {
+                   if (*self)
+                     (*self)->Written(group, record);
+                 });
+}
+
+void MemberRecords::Written(const GroupName& group,
+                            const Result<StoredRecord>& record) {
+  Record& known = m_records[group];
+  known.busy = false;
+  if (!record)
+    return m_log.Belief(EventKind::kMembership, group, "members_unwritten", "",
+                        {{"error", record.error().message}});
+  if (const auto members = DecodeMembers(record.value().body))
+    known.stored = members.value();
+  m_log.Belief(EventKind::kMembership, group, "members_recorded", "",
+               {{"instances", std::to_string(known.stored.born.size())},
+                {"primary", known.stored.primary.value()},
+                {"revision", std::to_string(record.value().revision)},
+                {"term", std::to_string(known.stored.term)}});
+}
+
+Duration MemberRecords::RandomDelay() {
+  return Duration(std::uniform_int_distribution<int64_t>(
+      0, kLongestDelay.count())(m_random));
+}
+
+}  // namespace jackdawturn::gateway
--- a/libraries/gateway/metadata_store.h
+++ b/libraries/gateway/metadata_store.h
@@ -15,6 +15,7 @@
   kServers,         // Written by the instances.
   kPrimaryChanges,  // Written by proxies: who changes a group's primary.
   kPeers,           // Written by proxies: where each one can be reached.
+  kGroupMembers,    // Written by proxies: who has each group's commits.
 };
 
 struct StoredRecord {
--- a/libraries/gateway/primary_change.cc
+++ b/libraries/gateway/primary_change.cc
@@ -383,10 +383,11 @@
 }
 
 void PrimaryChange::PromoteIfComplete() {
-  if (!CoversDepartures())
-    return ResumeAndEnd(Outcome::kNotPossible,
-                        "commits of an instance that has left may be missing");
-  Promote();
+  if (CoversDepartures())
+    return Promote();
+  if (m_context.departures.contains(m_options.group))
+    return ResumeAndEnd(Outcome::kNotPossible, kMissingCommits);
+  ReadMembers();
 }
 
 void PrimaryChange::AwaitCandidate() {
--- a/libraries/gateway/primary_change.h
+++ b/libraries/gateway/primary_change.h
@@ -36,6 +36,9 @@
  public:
   // A claim without an end gives way after this time.
   static constexpr Duration kClaimTime = std::chrono::seconds(4);
+  // Why a change without a complete log is given up.
+  static constexpr const char* kMissingCommits =
+      "commits of an instance that has left may be missing";
 
   enum class Kind {
     kPlanned,
@@ -151,6 +154,9 @@
   // help of an instance that has left since.
   bool CoversDepartures();
   void PromoteIfComplete();
+  // A proxy that has not seen who left before it started asks the store.
+  void ReadMembers();
+  void MembersRead(const Result<StoredRecord>& record);
   void Promote();
   void PromoteAnswered(Result<void> result);
   void AwaitLead();
--- a/libraries/gateway/primary_change_claim.cc
+++ b/libraries/gateway/primary_change_claim.cc
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include "gateway/group_members.h"
 #include "gateway/primary_change.h"
 
 namespace jackdawturn::gateway {
@@ -97,6 +98,32 @@
       });
 }
 
+void PrimaryChange::ReadMembers() {
+  m_ports.store.Read(RecordCollection::kGroupMembers, m_options.group.value(),
+                     kStoreTimeout,
+                     [self = shared_from_this()](const auto& record) {
+                       self->MembersRead(record);
+                     });
+}
+
+void PrimaryChange::MembersRead(const Result<StoredRecord>& record) {
+  const auto recorded = record ? DecodeMembers(record.value().body)
+                               : Result<GroupMembers>(record.error());
+  if (!recorded)
+    return ResumeAndEnd(Outcome::kNotPossible, "no record of the members: " +
+                                                   recorded.error().message);
+  // An instance may have left while the record was read.
+  const bool complete =
+      !m_context.departures.contains(m_options.group) &&
+      NoCopyHasLeft(recorded.value(), m_context.directory.All(m_options.group),
+                    Find(m_candidate)->status->term);
+  Log("members", {{"revision", std::to_string(record.value().revision)},
+                  {"complete", complete ? "yes" : "no"}});
+  if (!complete)
+    return ResumeAndEnd(Outcome::kNotPossible, kMissingCommits);
+  Promote();
+}
+
 void PrimaryChange::Release() {
   m_ports.store.Update(
       RecordCollection::kPrimaryChanges, m_options.group.value(), m_token,
--- a/tests/gateway/fake_group.h
+++ b/tests/gateway/fake_group.h
@@ -250,7 +250,7 @@
   };
 }
 
-// A store of records that only PrimaryChange uses.
+// A store of records without lists and watches.
 class FakeStore : public MetadataStore {
  public:
   explicit FakeStore(VirtualTimers& timers) : m_timers(timers) {}
@@ -263,18 +263,18 @@
              Duration,
              std::function<void(Result<RecordChanges>)>) override {}
 
-  void Read(RecordCollection,
+  void Read(RecordCollection collection,
             const std::string& name,
             Duration,
             OnRecord on_record) override {
-    const auto found = m_records.find(name);
+    const auto found = m_records.find({collection, name});
     Answer(std::move(on_record),
            found == m_records.end() ? Result<StoredRecord>(Error{
                                           ErrorCode::kNotFound, "fake", "", ""})
                                     : Result<StoredRecord>(found->second));
   }
 
-  void Update(RecordCollection,
+  void Update(RecordCollection collection,
               const std::string& name,
               uint64_t expected,
               const std::string& body,
@@ -282,13 +282,13 @@
               OnRecord on_record) override {
     if (before_update)
       before_update();
-    const auto found = m_records.find(name);
+    const auto found = m_records.find({collection, name});
     const uint64_t present =
         found == m_records.end() ? 0 : found->second.revision;
     if (present != expected)
       return Answer(std::move(on_record),
                     Error{ErrorCode::kConflict, "fake", "", ""});
-    StoredRecord& record = m_records[name];
+    StoredRecord& record = m_records[{collection, name}];
     record = {name, ++m_revision, body};
     if (lose_next_answer) {
       lose_next_answer = false;
@@ -298,6 +298,15 @@
     Answer(std::move(on_record), record);
   }
 
+  // Returns the record, or nothing.
+  std::optional<StoredRecord> Find(RecordCollection collection,
+                                   const std::string& name) const {
+    const auto found = m_records.find({collection, name});
+    if (found == m_records.end())
+      return std::nullopt;
+    return found->second;
+  }
+
   // The next update takes effect without an answer.
   bool lose_next_answer = false;
   // Runs before an update takes effect; null: nothing runs.
@@ -311,7 +320,7 @@
   }
 
   VirtualTimers& m_timers;
-  std::map<std::string, StoredRecord> m_records;
+  std::map<std::pair<RecordCollection, std::string>, StoredRecord> m_records;
   uint64_t m_revision = 0;
 };
 
--- a/tests/gateway/host_test.cc
+++ b/tests/gateway/host_test.cc
@@ -190,6 +190,37 @@
                row.departed);
 }
 
+// The members of a group are recorded once this proxy knows that its replicas
+// have every acknowledged commit, and again when the primary has changed.
+Test(gateway_host, members_are_recorded_when_replicas_have_all_commits) {
+  HostRig rig;
+  rig.Configure("1");
+  for (const char* id : {"p", "a"})
+    rig.group.Add(id, ReplicationRole::kReplica, 10);
+  rig.group.At("p").role = ReplicationRole::kPrimary;
+  rig.store.on_servers(RecordList{{{"p", 1, "primary"}, {"a", 2, ""}}, 5});
+  rig.timers.Advance(4s);
+  const auto stored = [&]() -> std::optional<GroupMembers> {
+    const auto record =
+        rig.store.Find(RecordCollection::kGroupMembers, "loans");
+    if (!record)
+      return std::nullopt;
+    return DecodeMembers(record->body).value();
+  };
+  cr_expect(!stored(), "recorded before any position was seen");
+  rig.group.At("a").behind = true;
+  rig.Read(3s);
+  cr_expect(!stored(), "recorded while the replica is behind");
+  rig.group.At("a").behind = false;
+  rig.Read(5s);
+  cr_assert(stored().has_value());
+  cr_expect(*stored() ==
+            (GroupMembers{{{InstanceName("p"), 1}, {InstanceName("a"), 1}},
+                          InstanceName("p"),
+                          1}));
+  rig.timers.Clear();
+}
+
 // Both replicas far behind and more reads than the primary has room for: the
 // group lost 8% of its requests for 40 s on a day of the users although the
 // primary was well. Another primary lets the old one serve reads as a replica.
--- a/tests/gateway/primary_change_test.cc
+++ b/tests/gateway/primary_change_test.cc
@@ -168,6 +168,62 @@
   cr_assert_eq(rig.group.At("a").paused_term, 0U);
 }
 
+// A proxy that has just started has not seen who left before. Without the
+// record of the members, no group whose primary was lost could be served after
+// a restart of all proxies (seen on a user's day: nothing was served for 4 s);
+// with a wrong one, commits would be lost.
+struct RestartCase {
+  const char* pattern;
+  std::optional<GroupMembers> recorded;
+  bool primary_unlisted;
+  bool promoted;
+};
+
+static GroupMembers Members(std::map<InstanceName, uint64_t> born,
+                            uint64_t term) {
+  return {std::move(born), InstanceName("p"), term};
+}
+
+static const std::map<InstanceName, uint64_t> kAll = {{InstanceName("p"), 0},
+                                                      {InstanceName("a"), 0},
+                                                      {InstanceName("b"), 0}};
+
+static const RestartCase kRestarts[] = {
+    {"no record", std::nullopt, false, false},
+    {"nobody has left", Members(kAll, 1), false, true},
+    {"only the primary has left", Members(kAll, 1), true, true},
+    {"the primary of an earlier term has left", Members(kAll, 0), true, false},
+    {"a replica started again",
+     Members({{InstanceName("a"), 7}, {InstanceName("b"), 0}}, 1), false,
+     false},
+    {"a replica has left",
+     Members({{InstanceName("a"), 0}, {InstanceName("x"), 0}}, 1), false,
+     false},
+    {"a replica has joined", Members({{InstanceName("a"), 0}}, 1), false, true},
+};
+
+TABLE_TEST(gateway_primary_change, proxy_that_has_just_started, kRestarts) {
+  const RestartCase& row = kRestarts[*row_index];
+  ChangeRig rig;
+  rig.context.positions.clear();
+  if (row.recorded)
+    rig.store.Update(RecordCollection::kGroupMembers, "loans", 0,
+                     EncodeMembers(*row.recorded), 1s, [](const auto&) {});
+  rig.group.At("p").silent = true;
+  if (row.primary_unlisted) {
+    rig.group.At("p").server.draining = true;
+    rig.directory.Update(rig.group.At("p").server);
+    rig.directory.Remove(InstanceName("p"), rig.timers.now());
+  }
+  const auto change = rig.Begin(Kind::kFailure, "one");
+  change->Start();
+  rig.timers.Advance(2s);
+  cr_assert_eq(rig.results.size(), 1U);
+  cr_expect_eq(rig.group.promotions.size(), row.promoted ? 1U : 0U, "%s",
+               row.pattern);
+  cr_expect_eq(rig.group.At("a").paused_term, 0U);
+}
+
 // A lost answer to the claim is not a failure; the claim is read back.
 Test(gateway_primary_change, claim_with_a_lost_answer_is_recognised) {
   ChangeRig rig;
