Routing: Take an instance without connections for tried, not for stalled

The process was still there: GET /v1/status of its second proxy showed a steady group, healthy instances, reports 0.2 s old, and pools with stalled=true and open_connections=0 for six minutes. The proxy had noticed a pause of 4.6 s: all probes were overdue, one connection was given up for a witness, and the one that was being opened was closed when the proxy's share moved. A pool leaves the stalled state only through an answer on a connection, and a stalled instance is never chosen, so none was opened again.

Ruled out: a change of primary (term 1 throughout), full rings (none refused).

Change: a pool without connections is not stalled.

--- a/libraries/routing/connection_pool.h
+++ b/libraries/routing/connection_pool.h
@@ -139,8 +139,9 @@
   // Closes all connections.
   void CloseAll(std::vector<PoolEffect>& effects);
 
-  // True while suspected connections and their witnesses are unanswered.
-  bool stalled() const { return m_stalled; }
+  // True while suspected connections and their witnesses are unanswered. False
+  // without connections: nothing would show any more that the instance answers.
+  bool stalled() const { return m_stalled && !m_connections.empty(); }
   // Open connections, without those that are being opened.
   size_t open_count() const;
   // All connections, including those that are being opened.
--- a/tests/routing/connections_test.cc
+++ b/tests/routing/connections_test.cc
@@ -99,6 +99,22 @@
     cr_assert_eq(bench.Opens(), 1U, "silent connection not replaced at once");
 }
 
+// Guards against an instance that is never chosen again because its last
+// connection went while it was stalled, for example when the process was paused
+// and its share moved to another proxy meanwhile.
+Test(connection_pool, instance_without_connections_is_not_stalled) {
+  PoolBench bench;
+  while (bench.pool.Take(bench.now)) {
+  }
+  bench.Run(Duration(120'000), {});
+  cr_assert(bench.pool.stalled());
+  bench.pool.SetShare(0, bench.effects);
+  for (uint64_t id = 1; id <= bench.last; ++id)
+    bench.pool.Lost(PoolConnectionId{id});
+  cr_assert_eq(bench.pool.size(), 0U);
+  cr_assert_not(bench.pool.stalled());
+}
+
 // Guards against an instance whose connections are all silent and that is never
 // tried with a new one.
 Test(connection_pool, gives_up_one_connection_for_a_witness) {
