--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -131,7 +131,6 @@
   bool ReliefNeeded(const GroupName& group, const BackendServer& primary) const;
   void StartChange(const GroupName& group, const ChangeReason& reason);
   void ChangeEnded(const GroupName& group, PrimaryChange::Outcome outcome);
-  Duration Jitter(Duration longest);
 
   const Options m_options;
   Ports m_ports;
@@ -154,6 +153,8 @@
   uint64_t m_attempts = 0;
   uint64_t m_ticks = 0;
   bool m_servers_known = false;
+  // What the log last said of the zone.
+  bool m_isolation_logged = false;
   bool m_draining = false;
 };
 
--- a/libraries/gateway/group_members.cc
+++ b/libraries/gateway/group_members.cc
@@ -5,6 +5,8 @@
 
 #include <boost/json.hpp>
 
+#include "gateway/random_delay.h"
+
 namespace jackdawturn::gateway {
 
 namespace {
@@ -80,10 +82,11 @@
   if (record.busy || record.stored == members)
     return;
   record.busy = true;
-  m_timers.After(RandomDelay(), [self = m_self, group] {
-    if (*self)
-      (*self)->Read(group);
-  });
+  m_timers.After(RandomDelay(m_random, {}, kLongestDelay),
+                 [self = m_self, group] {
+                   if (*self)
+                     (*self)->Read(group);
+                 });
 }
 
 void MemberRecords::Read(const GroupName& group) {
@@ -138,9 +141,4 @@
                 {"term", std::to_string(known.stored.term)}});
 }
 
-Duration MemberRecords::RandomDelay() {
-  return Duration(std::uniform_int_distribution<int64_t>(
-      0, kLongestDelay.count())(m_random));
-}
-
 }  // namespace jackdawturn::gateway
--- a/libraries/gateway/group_members.h
+++ b/libraries/gateway/group_members.h
@@ -71,7 +71,6 @@
   void WasRead(const GroupName& group, const Result<StoredRecord>& record);
   void Write(const GroupName& group, uint64_t expected);
   void Written(const GroupName& group, const Result<StoredRecord>& record);
-  Duration RandomDelay();
 
   MetadataStore& m_store;
   Timers& m_timers;
--- a/libraries/gateway/peer_registration.cc
+++ b/libraries/gateway/peer_registration.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "gateway/random_delay.h"
+
 namespace jackdawturn::gateway {
 
 namespace {
@@ -83,8 +85,7 @@
 }
 
 void PeerRegistration::Retry() {
-  const Duration delay(std::uniform_int_distribution<int64_t>(
-      kShortestRetry.count(), kLongestRetry.count())(m_random));
+  const Duration delay = RandomDelay(m_random, kShortestRetry, kLongestRetry);
   m_timers.After(delay, [self = m_self] {
     if (*self)
       (*self)->ReadAgain();
--- a/libraries/gateway/store_sync.cc
+++ b/libraries/gateway/store_sync.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/random_delay.h"
+
 namespace jackdawturn::gateway {
 
 namespace {
@@ -106,23 +108,18 @@
   const Duration waited = m_timers.now() - m_called_at;
   if (error.code == ErrorCode::kTimeout &&
       waited >= StoreRetries::kOutageInterval) {
-    m_timers.After(RandomDelay(kFirstRetry), [self = m_self] {
-      if (*self)
-        (*self)->List();
-    });
+    m_timers.After(RandomDelay(m_random, kFirstRetry / 4, kFirstRetry),
+                   [self = m_self] {
+                     if (*self)
+                       (*self)->List();
+                   });
     return;
   }
   m_retries.Failed();
   const Duration longest =
       std::min(kFirstRetry * (1 << std::min(m_failures, kRetryDoublings)),
                kLongestRetry);
-  TryAgainAfter(RandomDelay(longest), list_again);
-}
-
-Duration StoreSync::RandomDelay(Duration longest) {
-  // Random, so that proxies that lost the store together return one by one.
-  return Duration(std::uniform_int_distribution<int64_t>(
-      longest.count() / 4, longest.count())(m_random));
+  TryAgainAfter(RandomDelay(m_random, longest / 4, longest), list_again);
 }
 
 void StoreSync::TryAgainAfter(Duration delay, bool list_again) {
--- a/libraries/gateway/store_sync.h
+++ b/libraries/gateway/store_sync.h
@@ -56,8 +56,6 @@
   void Watch();
   void Watched(Result<RecordChanges> changes);
   void Failed(const Error& error, bool list_again);
-  // Returns between a quarter of `longest` and all of it.
-  Duration RandomDelay(Duration longest);
   // Calls the store again, or waits for the turn of this collection.
   void TryAgain(bool list_again);
   void TryAgainAfter(Duration delay, bool list_again);
