--- a/libraries/gateway/random_delay.h
+++ b/libraries/gateway/random_delay.h
@@ -6,8 +6,8 @@
 
 namespace jackdawturn::gateway {
 
-// Returns a time between `shortest` and `longest`, each as likely as the others,
-// so that proxies that see the same event act one after the other.
+// Returns a time between `shortest` and `longest`, each as likely as the
+// others, so that proxies that see the same event act one after the other.
 // Thread safety: not thread-safe.
 inline Duration RandomDelay(std::mt19937_64& random,
                             Duration shortest,
