Gateway: Leave a full primary alone while a lost instance may return

Commit 2.296 ran at 14.569 s and was acknowledged at 14.746 s, when the instance i-e2219b57c6, gone from the registry since 13.5 s, came back and received it; another instance was promoted meanwhile. An instance that returns during a change is neither paused nor asked for its position.

Change: a primary that is well is not replaced within 30 s after an instance of its group has left, and each change looks at the members once more before it promotes.

--- a/libraries/gateway/gateway_host_changes.cc
+++ b/libraries/gateway/gateway_host_changes.cc
@@ -24,6 +24,9 @@
 // instances are all slow is not changed over and over.
 constexpr Duration kReliefInterval = 10s;
 constexpr Duration kReliefRetry = 1s;
+// An instance that was lost may return with its log during the change, where it
+// would neither be paused nor asked for its position.
+constexpr Duration kReturnTime = 30s;
 // Proxies that do not hold a group's connections leave it to the holders to
 // change its primary, unless these do nothing for this long; they then start
 // one after the other.
@@ -57,6 +60,10 @@
   const auto state = m_groups.find(group);
   if (state != m_groups.end() && now < state->second.next_relief)
     return false;
+  const auto departure = m_context.departures.find(group);
+  if (departure != m_context.departures.end() &&
+      now < departure->second + kReturnTime)
+    return false;
   std::vector<InstanceName> replicas;
   for (const BackendServer* server : m_directory.Serving(group)) {
     if (server->id != primary.id)
--- a/libraries/gateway/primary_change.cc
+++ b/libraries/gateway/primary_change.cc
@@ -210,6 +210,9 @@
 }
 
 void PrimaryChange::PromoteIfComplete() {
+  // One that came back is not paused and could help the old primary.
+  if (!MembersUnchanged())
+    return ResumeAndEnd(Outcome::kFailed, "the group's instances have changed");
   if (CoversDepartures())
     return Promote();
   if (m_context.departures.contains(m_options.group))
