Platform: Read the entries of the store one by one

Cause: a page of a list or watch was parsed as one document. An entry of another writer that was nested deeply, held a number out of range or bytes that are not UTF-8 made the page unreadable, and the list was never followed again. An instance with a port out of range was taken as it came; no change of primary of its group was possible while it was listed, since it answers nothing. Change: pages are split into entries before they are parsed. An entry whose contents cannot be read becomes a record without a body, which the decoders refuse with a log line; one without a name is counted. Addresses and times are checked. Measured: eleven kinds of odd entries between good ones, 3,000 damaged pages through all decoders; odd_entry_hides_no_other fails on a parser of the whole page.

--- a/libraries/core/core.h
+++ b/libraries/core/core.h
@@ -9,6 +9,7 @@
 #include "core/hash.h"            // IWYU pragma: export
 #include "core/identifiers.h"     // IWYU pragma: export
 #include "core/json_fields.h"     // IWYU pragma: export
+#include "core/json_split.h"      // IWYU pragma: export
 #include "core/overloaded.h"      // IWYU pragma: export
 #include "core/platform_types.h"  // IWYU pragma: export
 #include "core/request_time.h"    // IWYU pragma: export
--- a/libraries/gateway/metadata_store.h
+++ b/libraries/gateway/metadata_store.h
@@ -23,7 +23,7 @@
   // Changes with every change of the record. A later change of any record in
   // the store has a higher revision.
   uint64_t revision = 0;
-  // JSON.
+  // JSON; empty if what is stored cannot be read.
   std::string body;
 };
 
@@ -31,6 +31,8 @@
   std::vector<StoredRecord> records;
   // The revision of the store that the list reflects.
   uint64_t revision = 0;
+  // Records that were left out because they could not be read at all.
+  size_t unreadable = 0;
 };
 
 struct RecordChange {
@@ -42,6 +44,8 @@
   std::vector<RecordChange> changes;
   // The revision from which to start the next watch.
   uint64_t revision = 0;
+  // Changes that were left out because they could not be read at all.
+  size_t unreadable = 0;
 };
 
 // The interface to the platform's metadata store. Thread safety: all methods
--- a/tests/platform/codecs_test.cc
+++ b/tests/platform/codecs_test.cc
@@ -1,7 +1,9 @@
 #include <string>
 
+#include "platform/object_decoder.h"
 #include "platform/platform.h"
 
+#include "support/mutations.h"
 #include "support/table_test.h"
 
 namespace jackdawturn::gateway::platform {
@@ -108,6 +110,10 @@
     R"({"Service":1,"Addr":"1.2.3.4:5"})",
     R"({"Service":"s","Addr":"1.2.3.4:5","Zone":"z","State":"new","DbRole":"replica"})",
     R"({"Service":"s","Addr":"1.2.3.4:5","Zone":"z","State":"ready","DbRole":"king"})",
+    R"({"Service":"s","Addr":"1.2.3.4:65536","Zone":"z","State":"ready","DbRole":"replica"})",
+    R"({"Service":"s","Addr":"1.2.3.4:0","Zone":"z","State":"ready","DbRole":"replica"})",
+    R"({"Service":"s","Addr":"1.2.3.4:-1","Zone":"z","State":"ready","DbRole":"replica"})",
+    R"({"Service":"s","Addr":"1.2.3.4:5","Zone":"z","State":"ready","DbRole":"replica","born":1e300})",
 };
 
 TABLE_TEST(platform_records, entries_that_are_not_understood, kBadServers) {
@@ -175,4 +181,117 @@
   cr_expect_eq(config.value().groups.at(GroupName("s")).connections, 16U);
 }
 
+// One odd entry of another writer must not hide the others of a page, nor end
+// the process (reported by operators of other systems).
+struct OddEntryCase {
+  const char* pattern;
+  std::string item;
+  // The records and unreadable entries of a page with it between two good ones.
+  size_t records;
+  size_t unreadable;
+};
+
+static std::string WithSpec(const std::string& spec) {
+  return R"({"meta":{"Name":"odd","Revision":8},"spec":)" + spec + "}";
+}
+
+static const std::vector<OddEntryCase>& OddEntries() {
+  static const std::vector<OddEntryCase> kEntries = {
+      {"nested deeply",
+       WithSpec(std::string(300'000, '[') + std::string(300'000, ']')), 3, 0},
+      {"nested objects", WithSpec([] {
+         std::string text;
+         for (int depth = 0; depth < 50'000; ++depth)
+           text += R"({"a":)";
+         return text + "1" + std::string(50'000, '}');
+       }()),
+       3, 0},
+      {"number out of range", WithSpec(R"({"born":1e99999})"), 3, 0},
+      {"long number", WithSpec(std::string(50'000, '9')), 3, 0},
+      {"invalid bytes", WithSpec("{\"Service\":\"\xff\xfe\"}"), 3, 0},
+      {"no value", R"({"meta":{"Name":"odd"}})", 3, 0},
+      {"brackets in a string", WithSpec(R"({"a":"]}\\\"[{"})"), 3, 0},
+      {"no name", R"({"spec":{}})", 2, 1},
+      {"name of another type", R"({"meta":{"Name":7},"spec":{}})", 2, 1},
+      {"no object", "17", 2, 1},
+      {"revision out of range", R"({"meta":{"Name":"a","Revision":1e999}})", 2,
+       1},
+  };
+  return kEntries;
+}
+
+static constexpr size_t kOddEntryCount = 11;
+static const bool kOddEntryRows[kOddEntryCount] = {};
+
+TABLE_TEST(platform_records, odd_entry_hides_no_other, kOddEntryRows) {
+  cr_assert_eq(OddEntries().size(), kOddEntryCount);
+  const OddEntryCase& row = OddEntries()[*row_index];
+  const std::string good =
+      R"({"meta":{"Name":"i-1","Revision":7},"spec":{"Service":"s",)"
+      R"("Addr":"1.2.3.4:5","Zone":"z","State":"ready","DbRole":"replica"}})";
+  const std::string items = good + " , " + row.item + "," + good;
+  const auto page =
+      DecodePage(R"({"items":[)" + items + R"(],"HasMore":true,"AsOf":9})");
+  cr_assert(page.has_value(), "%s", row.pattern);
+  cr_expect_eq(page.value().list.records.size(), row.records, "%s",
+               row.pattern);
+  cr_expect_eq(page.value().list.unreadable, row.unreadable, "%s", row.pattern);
+  cr_expect_eq(page.value().list.revision, 9U);
+  cr_expect(page.value().has_more);
+  cr_expect_str_eq(page.value().last_name.c_str(), "i-1");
+  size_t servers = 0;
+  for (const StoredRecord& record : page.value().list.records)
+    servers += DecodeServer(record) ? 1 : 0;
+  cr_expect_eq(servers, 2U, "%s", row.pattern);
+
+  const std::string event = R"({"Object":)" + good + "}";
+  const auto changes =
+      DecodeChanges(R"({"AsOf":9,"events":[)" + event + R"(,{"Object":)" +
+                    row.item + R"(,"Removed":false},)" + event + "]}");
+  cr_assert(changes.has_value(), "%s", row.pattern);
+  cr_expect_eq(changes.value().changes.size(), row.records, "%s", row.pattern);
+  cr_expect_eq(changes.value().unreadable, row.unreadable);
+}
+
+static const char* const kBadPages[] = {
+    "",
+    "[]",
+    "{",
+    R"({"items":[)",
+    R"({"items":[1})",
+    R"({"items":[]})",
+    R"({"items":[],"AsOf":"x"})",
+    R"({"items":7,"AsOf":1})",
+    R"({"items":[{"meta":{"Name":"a}],"AsOf":1})"};
+
+TABLE_TEST(platform_records, damaged_page_is_an_error, kBadPages) {
+  cr_assert(!DecodePage(kBadPages[*row_index]).has_value());
+}
+
+// Whatever another writer or a fault puts into an answer, no decoder ends the
+// process.
+Test(platform_records, decoders_survive_damaged_input) {
+  const std::string valid =
+      R"({"items":[{"meta":{"Name":"i-1","Revision":7},"spec":{"Service":"s",)"
+      R"("Addr":"1.2.3.4:5","Zone":"z","State":"ready","DbRole":"replica",)"
+      R"("born":17}}],"events":[{"Object":{"meta":{"Name":"i-1"},"spec":{}},)"
+      R"("Removed":true}],"HasMore":false,"AsOf":9})";
+  Mutator mutator(1);
+  size_t decoded = 0;
+  for (int run = 0; run < 3'000; ++run) {
+    const std::string text =
+        run % 50 == 0 ? mutator.HostileJson() : mutator.Mutate(valid);
+    decoded += DecodeChanges(text) ? 1 : 0;
+    decoded += DecodeObject(text) ? 1 : 0;
+    decoded += DecodeGatewayConfig({"main", 1, text}) ? 1 : 0;
+    const auto page = DecodePage(text);
+    if (!page)
+      continue;
+    for (const StoredRecord& record : page.value().list.records)
+      decoded += DecodeServer(record) ? 1 : 0;
+  }
+  // Some damage leaves a page readable.
+  cr_expect_gt(decoded, 0U);
+}
+
 }  // namespace jackdawturn::gateway::platform
