Gateway: Lease reads of a primary where a promotion does not depose it

Reads of primary routes ran at logs that lacked acknowledged commits. Ruled out: the directory of instances, which knew the new primary as soon as the store told it; proxies cut off from the store or from the new primary cannot know. Change: reads of a primary need a lease, which acknowledged commits, positions of replicas or a status request renew; a promotion deposes the old primary, or waits for the leases to end and checks that the replicas stayed paused. A planned change gives up when the old primary is not deposed. No promotion is requested once the claim may have been overtaken.

--- a/libraries/gateway/backend_session.h
+++ b/libraries/gateway/backend_session.h
@@ -22,8 +22,9 @@
     kPrepare,
     kDiscard,  // Clears values and prepared statements.
     kStatus,
-    kPause,   // Stops replication to a replica; fenced by `term`.
-    kResume,  // Ends kPause.
+    kPause,     // Stops replication to a replica; fenced by `term`.
+    kResume,    // Ends kPause.
+    kStepDown,  // Makes the primary of an earlier term than `term` a replica.
   };
 
   Kind kind = Kind::kStatus;
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/gateway_log.h"                  // IWYU pragma: export
 #include "gateway/gateway_types.h"                // IWYU pragma: export
 #include "gateway/group_members.h"                // IWYU pragma: export
+#include "gateway/lease_renewal.h"                // IWYU pragma: export
 #include "gateway/local_statement_execution.h"    // IWYU pragma: export
 #include "gateway/metadata_store.h"               // IWYU pragma: export
 #include "gateway/other_zone_reachability.h"      // IWYU pragma: export
@@ -18,6 +19,7 @@
 #include "gateway/position_history.h"             // IWYU pragma: export
 #include "gateway/primary_change.h"               // IWYU pragma: export
 #include "gateway/primary_failure_detector.h"     // IWYU pragma: export
+#include "gateway/primary_lease.h"                // IWYU pragma: export
 #include "gateway/read_selection.h"               // IWYU pragma: export
 #include "gateway/relayed_statement_execution.h"  // IWYU pragma: export
 #include "gateway/replica_lag_monitor.h"          // IWYU pragma: export
--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -11,6 +12,7 @@
 #include "gateway/peer_directory.h"
 #include "gateway/position_history.h"
 #include "gateway/primary_failure_detector.h"
+#include "gateway/primary_lease.h"
 #include "gateway/replica_lag_monitor.h"
 #include "gateway/server_directory.h"
 #include "gateway/timers.h"
@@ -52,11 +54,39 @@
   ReplicaLagMonitor lag_monitor;
   OtherZoneReachability zone_reachability;
   ZoneIsolation isolation;
+  PrimaryLease leases;
+  // Tries to renew a group's lease and calls `then` at the end. Null if a
+  // promotion deposes the old primary, so that no lease is needed.
+  std::function<void(const GroupName& group, std::function<void()> then)>
+      renew_lease;
   // When a group last lost an instance together with its log. Before `started`,
   // such a loss may have occurred at any time, unobserved by this proxy.
   std::map<GroupName, TimePoint> last_member_loss;
   TimePoint started = timers.now();
 
+  // Returns whether a replaced primary may continue to lead, so that its reads
+  // need a lease.
+  bool needs_leases() const { return renew_lease != nullptr; }
+
+  // Returns whether the lease of the primary lasts beyond `time`, or none is
+  // needed.
+  bool HasLease(const GroupName& group,
+                const InstanceName& primary,
+                TimePoint time) const {
+    if (!needs_leases())
+      return true;
+    const auto end = leases.End(group, primary);
+    return end && time < *end;
+  }
+
+  // Returns whether an acknowledged commit has been received by a replica.
+  bool CommitsReachReplicas(const GroupName& group) const {
+    if (!config)
+      return false;
+    const auto found = config->groups.find(group);
+    return found != config->groups.end() && found->second.sync_replicas > 0;
+  }
+
   // Returns the connection limit of one instance of the group; 0 if it is not
   // configured.
   size_t ConnectionsOf(const GroupName& group) const {
--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -44,6 +44,7 @@
                 .directory = m_directory,
                 .log = m_log,
                 .zone = m_options.zone},
+      m_lease_renewal(m_context, m_ports.read_status),
       m_configuration_sync(
           m_ports.store,
           m_ports.timers,
@@ -95,7 +96,13 @@
                       .incarnation = m_options.seed & kIncarnationMask},
                      m_options.seed + 4),
       m_member_records(m_ports.store, m_ports.timers, log, m_options.seed + 5),
-      m_random(m_options.seed) {}
+      m_random(m_options.seed) {
+  if (!m_options.promotion_deposes_primary)
+    m_context.renew_lease = [this](const GroupName& group,
+                                   std::function<void()> then) {
+      m_lease_renewal.Renew(group, std::move(then));
+    };
+}
 
 void GatewayHost::Start() {
   m_configuration_sync.Start();
@@ -196,6 +203,7 @@
   m_servers_listed = true;
   m_log.LogStateChange(EventKind::kMembership, GroupName(), "listed", "",
                        {{"instances", std::to_string(listed)},
+                        {"unreadable", std::to_string(list.unreadable)},
                         {"revision", std::to_string(list.revision)}});
 }
 
@@ -204,7 +212,10 @@
     return ServerUnlisted(InstanceName(change.record.name),
                           change.record.revision);
   if (const auto server = DecodeServer(change.record))
-    UpdateServer(*server);
+    return UpdateServer(*server);
+  // Another writer has replaced the entry; it names no instance any more.
+  if (m_directory.Find(InstanceName(change.record.name)))
+    ServerUnlisted(InstanceName(change.record.name), change.record.revision);
 }
 
 void GatewayHost::ServerUnlisted(const InstanceName& id, uint64_t revision) {
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -11,6 +11,7 @@
 #include "gateway/client_session.h"
 #include "gateway/gateway_context.h"
 #include "gateway/group_members.h"
+#include "gateway/lease_renewal.h"
 #include "gateway/metadata_store.h"
 #include "gateway/peer_registration.h"
 #include "gateway/primary_change.h"
@@ -35,6 +36,9 @@
     // How long one watch of each collection waits for changes.
     Duration configuration_wait = std::chrono::milliseconds(1'500);
     Duration servers_wait = std::chrono::milliseconds(2'500);
+    // Whether an instance stops leading when another one is promoted. If not,
+    // reads of a primary need a lease.
+    bool promotion_deposes_primary = true;
   };
 
   struct Ports {
@@ -148,6 +152,7 @@
   ServerDirectory m_directory;
   GatewayLog& m_log;
   GatewayContext m_context;
+  LeaseRenewal m_lease_renewal;
   StoreRetries m_store_retries;
   StoreSync m_configuration_sync;
   StoreSync m_servers_sync;
--- a/libraries/gateway/local_statement_execution.cc
+++ b/libraries/gateway/local_statement_execution.cc
@@ -180,18 +180,7 @@
     m_instance_state = TransactionState::kNone;
     if (!m_on_done)
       return ReleaseConnection();
-    const bool is_primary = target_is_primary();
-    m_implicit_transaction =
-        !m_input.in_transaction() && !m_input.writes() && is_primary;
-    // The instance may have been promoted or demoted while the statement
-    // waited for a connection.
-    if (!is_primary && !m_required) {
-      ReleaseConnection();
-      return ScheduleAttempt(Duration(0));
-    }
-    if (m_input.in_transaction() || m_implicit_transaction)
-      return BeginTransaction();
-    return SendStatement();
+    return SendFirst();
   }
   if (!m_on_done)
     return;
@@ -206,6 +195,54 @@
   ScheduleAttempt(needs_primary() ? kRetryDelay : Duration(0));
 }
 
+void LocalStatementExecution::SendFirst() {
+  const bool is_primary = target_is_primary();
+  // The instance may have been promoted or demoted while the statement waited
+  // for a connection.
+  if (!is_primary && !m_required) {
+    ReleaseConnection();
+    return ScheduleAttempt(Duration(0));
+  }
+  if (is_primary && !lease_suffices()) {
+    if (m_lease_requested) {
+      m_lease_requested = false;
+      ReleaseConnection();
+      return ScheduleAttempt(kRetryDelay);
+    }
+    m_lease_requested = true;
+    return m_context.renew_lease(
+        m_input.route.group, [self = shared_from_this()] {
+          if (!self->m_on_done)
+            return self->ReleaseConnection();
+          if (self->m_context.timers.now() < self->m_send_deadline)
+            return self->SendFirst();
+          self->ReleaseConnection();
+          self->Refuse(kNoLease);
+        });
+  }
+  m_lease_requested = false;
+  m_implicit_transaction =
+      !m_input.in_transaction() && !m_input.writes() && is_primary;
+  if (m_input.in_transaction() || m_implicit_transaction)
+    return BeginTransaction();
+  SendStatement();
+}
+
+bool LocalStatementExecution::lease_suffices() const {
+  const GroupName& group = m_input.route.group;
+  // A replaced primary cannot have a commit acknowledged that needs a replica.
+  if (m_input.writes() && !m_input.in_transaction() &&
+      m_context.CommitsReachReplicas(group))
+    return true;
+  const Duration max_staleness =
+      m_input.writes() || m_input.route.freshness == ReadFreshness::kPrimary
+          ? Duration(0)
+          : std::max(m_input.route.max_staleness - kStalenessMargin,
+                     Duration(0));
+  return m_context.HasLease(group, m_target,
+                            m_context.timers.now() - max_staleness);
+}
+
 void LocalStatementExecution::BeginTransaction() {
   const bool read_only =
       m_input.transaction == Transaction::kReadOnly && m_required;
@@ -217,6 +254,8 @@
                                                  : CommandKind::kBegin;
   if (begin.kind == CommandKind::kBeginRead)
     begin.after = m_required;
+  else if (m_context.needs_leases())
+    begin.after = m_input.own_commit;
   commands.push_back(std::move(begin));
   Send(std::move(commands), [this](const std::vector<BackendReply>& replies) {
     const BackendReply& begun = replies.back();
@@ -365,18 +404,56 @@
                                  m_input.transaction == Transaction::kReadWrite;
   if (target_is_primary()) {
     if (confirmed_primary && !m_input.is_commit())
-      m_context.positions[m_input.route.group].Observe(m_sent_at,
-                                                       *reply.position);
+      ObservePrimary(*reply.position);
     return;
   }
   m_context.lag_monitor.Served(m_target);
+  RenewLeaseByReplica(*reply.position);
   auto& applied = m_context.progress[m_target].applied;
   applied = applied ? std::max(*applied, *reply.position) : *reply.position;
 }
 
+void LocalStatementExecution::ObservePrimary(CommitPosition position) {
+  const GroupName& group = m_input.route.group;
+  TimePoint covered = m_sent_at;
+  if (m_context.needs_leases()) {
+    const auto lease_end = m_context.leases.End(group, m_target);
+    if (!lease_end)
+      return;
+    // Commits of a later primary may have been acknowledged after that.
+    covered = std::min(covered, *lease_end);
+  }
+  m_context.positions[group].Observe(covered, position);
+}
+
+void LocalStatementExecution::RenewLeaseByCommit(const BackendReply& reply) {
+  const bool committed = m_input.in_transaction()
+                             ? m_input.is_commit() && m_input.changes_data()
+                             : m_input.writes();
+  if (committed && reply.position && m_context.needs_leases() &&
+      m_context.CommitsReachReplicas(m_input.route.group))
+    m_context.leases.Confirm(m_input.route.group, m_target,
+                             reply.position->term, m_sent_at);
+}
+
+void LocalStatementExecution::RenewLeaseByReplica(CommitPosition position) {
+  const GroupName& group = m_input.route.group;
+  const BackendServer* primary = m_context.directory.Primary(group);
+  if (!m_context.needs_leases() || !primary ||
+      m_context.leases.Term(group, primary->id) != position.term)
+    return;
+  const auto committed_after =
+      m_context.positions[group].LastSeenBefore(position);
+  if (committed_after)
+    m_context.leases.Confirm(group, primary->id, position.term,
+                             *committed_after);
+}
+
 void LocalStatementExecution::StatementReplied(const BackendReply& reply) {
-  if (reply.code == ReplyCode::kDone)
+  if (reply.code == ReplyCode::kDone) {
+    RenewLeaseByCommit(reply);
     RecordPosition(reply);
+  }
   if (reply.code == ReplyCode::kNoStatement)
     m_connection->state.prepared.clear();
   ClientReply answer = ReplyOf(reply);
@@ -402,6 +479,11 @@
       m_context.directory.MarkDemoted(m_target);
       break;
     case ReplyCode::kLagging:
+      if (target_is_primary()) {
+        // It lacks an acknowledged commit, so another one has replaced it.
+        m_context.directory.MarkDemoted(m_target);
+        break;
+      }
       m_context.progress[m_target].lagging_until =
           m_context.timers.now() + kLaggingBackoff;
       m_context.lag_monitor.Lagging(m_target, m_context.timers.now());
--- a/libraries/gateway/local_statement_execution.h
+++ b/libraries/gateway/local_statement_execution.h
@@ -38,6 +38,12 @@
   const BackendServer* ChooseForRead();
   void ScheduleAttempt(Duration delay);
   void Acquired(Result<BackendPool::ConnectionPtr> connection);
+  // Sends the statement on m_connection, after renewing the lease of the
+  // primary if necessary.
+  void SendFirst();
+  // Returns whether the chosen instance, as the primary, is known not to have
+  // been replaced at the time up to which the statement must see commits.
+  bool lease_suffices() const;
   void BeginTransaction();
   void SendStatement();
   void Send(std::vector<BackendCommand> commands,
@@ -60,6 +66,11 @@
   // Returns whether it did.
   bool RetryIfNotRun(const BackendReply& reply);
   void RecordPosition(const BackendReply& reply);
+  void ObservePrimary(CommitPosition position);
+  // An acknowledged commit shows that a replica was receiving.
+  void RenewLeaseByCommit(const BackendReply& reply);
+  // A replica that has a position was receiving after it was committed.
+  void RenewLeaseByReplica(CommitPosition position);
   // Reports to the lag monitor that the chosen instance, if it is the primary,
   // is at capacity.
   void ReportPrimaryFull();
@@ -86,6 +97,8 @@
   // The statement runs in a transaction of its own, which the instance refuses
   // unless it is primary.
   bool m_implicit_transaction = false;
+  // A lease renewal was requested for the connection that was acquired last.
+  bool m_lease_requested = false;
   std::set<InstanceName> m_avoided;
   InstanceName m_target;
   TimePoint m_sent_at;
--- a/libraries/gateway/position_history.cc
+++ b/libraries/gateway/position_history.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 
 namespace jackdawturn::gateway {
 
@@ -43,16 +44,28 @@
   return found->position;
 }
 
+std::deque<PositionHistory::Entry>::const_iterator PositionHistory::FirstAt(
+    CommitPosition position) const {
+  return std::lower_bound(m_entries.begin(), m_entries.end(), position,
+                          [](const Entry& entry, CommitPosition wanted) {
+                            return entry.position < wanted;
+                          });
+}
+
 std::optional<TimePoint> PositionHistory::SeenAt(
     CommitPosition position) const {
-  const auto found =
-      std::lower_bound(m_entries.begin(), m_entries.end(), position,
-                       [](const Entry& entry, CommitPosition wanted) {
-                         return entry.position < wanted;
-                       });
+  const auto found = FirstAt(position);
   if (found == m_entries.end())
     return std::nullopt;
   return found->sent_at;
 }
 
+std::optional<TimePoint> PositionHistory::LastSeenBefore(
+    CommitPosition position) const {
+  const auto found = FirstAt(position);
+  if (found == m_entries.begin())
+    return std::nullopt;
+  return std::prev(found)->sent_at;
+}
+
 }  // namespace jackdawturn::gateway
--- a/libraries/gateway/position_history.h
+++ b/libraries/gateway/position_history.h
@@ -21,6 +21,10 @@
   // acknowledged before `since`, or nullopt.
   std::optional<CommitPosition> PositionCovering(TimePoint since) const;
 
+  // Returns the send time of the last command whose reply showed an earlier
+  // position, or nullopt. The position was committed after that time.
+  std::optional<TimePoint> LastSeenBefore(CommitPosition position) const;
+
   // Returns the send time of the first command whose reply showed the position
   // or a later one, or nullopt.
   std::optional<TimePoint> SeenAt(CommitPosition position) const;
@@ -31,6 +35,9 @@
     CommitPosition position;
   };
 
+  // Returns the first entry with the position or a later one.
+  std::deque<Entry>::const_iterator FirstAt(CommitPosition position) const;
+
   // Ascending in both members.
   std::deque<Entry> m_entries;
 };
--- a/libraries/gateway/primary_change.cc
+++ b/libraries/gateway/primary_change.cc
@@ -16,10 +16,13 @@
 // Interval at which the candidate's status is polled.
 constexpr Duration kPollInterval = 30ms;
 constexpr Duration kCatchUpTimeout = 800ms;
+constexpr Duration kReturnProbeTimeout = 100ms;
 constexpr Duration kPromotedStatusTimeout = 3s;
 // Time after the claim until which replicas are resumed; later, the next
 // claimant may have paused them.
 constexpr Duration kResumeTimeLimit = 3s;
+constexpr const char* kMembersChanged =
+    "instances of the group joined or restarted during the change";
 
 }  // namespace
 
@@ -63,14 +66,19 @@
 }
 
 const PrimaryChange::Member* PrimaryChange::CurrentPrimary() const {
-  const Member* primary = nullptr;
+  const Member* newest = nullptr;
+  const auto rank = [](const Member& member) {
+    return std::make_tuple(member.status->term,
+                           member.status->role == ReplicationRole::kPrimary);
+  };
   for (const auto& [id, member] : m_members) {
-    if (!member.status || member.status->role != ReplicationRole::kPrimary)
-      continue;
-    if (!primary || member.status->term > primary->status->term)
-      primary = &member;
+    if (member.status && (!newest || rank(member) > rank(*newest)))
+      newest = &member;
   }
-  return primary;
+  // A primary whose term is older than that of a replica was replaced.
+  if (!newest || newest->status->role != ReplicationRole::kPrimary)
+    return nullptr;
+  return newest;
 }
 
 bool PrimaryChange::DetectNewPrimary() {
@@ -122,7 +130,6 @@
 
 void PrimaryChange::Claimed(uint64_t revision) {
   m_token = revision;
-  m_claimed_at = m_context.timers.now();
   Log("claim",
       {{"token", std::to_string(revision)}, {"reason", m_options.reason}});
   CommandAll(RespondingMembers(), CommandKind::kStatus,
@@ -161,8 +168,7 @@
 void PrimaryChange::PauseReplicas() {
   if (!MembersUnchanged()) {
     Release();
-    return End(Outcome::kFailed,
-               "instances of the group joined or restarted during the change");
+    return End(Outcome::kFailed, kMembersChanged);
   }
   for (const auto& [id, member] : m_members) {
     if (member.status)
@@ -192,17 +198,15 @@
 }
 
 void PrimaryChange::Paused() {
+  m_paused_at = m_context.timers.now();
   LogStatuses("paused");
   for (const auto& [id, member] : m_members) {
     if (member.paused && !member.status) {
       return ResumeAndEnd(Outcome::kFailed, "a replica could not be paused");
     }
   }
-  if (!MembersUnchanged()) {
-    return ResumeAndEnd(
-        Outcome::kFailed,
-        "instances of the group joined or restarted during the change");
-  }
+  if (!MembersUnchanged())
+    return ResumeAndEnd(Outcome::kFailed, kMembersChanged);
   if (old_primary_serves()) {
     m_wait_until = m_context.timers.now() + kCatchUpTimeout;
     return AwaitCandidate();
@@ -225,11 +229,9 @@
   // An instance that has returned is not paused, so the old primary could still
   // have commits acknowledged by it.
   if (!MembersUnchanged())
-    return ResumeAndEnd(
-        Outcome::kFailed,
-        "instances of the group joined or restarted during the change");
+    return ResumeAndEnd(Outcome::kFailed, kMembersChanged);
   if (CoversLostMembers())
-    return Promote();
+    return PreparePromotion();
   if (m_context.last_member_loss.contains(m_options.group))
     return ResumeAndEnd(Outcome::kNotPossible, kMissingCommits);
   ReadMembers();
@@ -270,7 +272,101 @@
   return true;
 }
 
+std::vector<PrimaryChange::Member*> PrimaryChange::PrimariesToDepose() {
+  // Where a promotion deposes the old primary, it serves until then.
+  const bool all = m_context.needs_leases();
+  std::vector<Member*> primaries;
+  for (auto& [id, member] : m_members) {
+    if (member.status && member.status->role == ReplicationRole::kPrimary &&
+        (all || !old_primary_serves()))
+      primaries.push_back(&member);
+  }
+  return primaries;
+}
+
+void PrimaryChange::PreparePromotion() {
+  const auto primaries = PrimariesToDepose();
+  for (const Member* primary : primaries)
+    Log("depose", {{"instance", primary->server.id.value()},
+                   {"term", std::to_string(m_pause_term)}});
+  CommandAll(
+      primaries, CommandKind::kStepDown,
+      [self = shared_from_this(), primaries] { self->Deposed(primaries); });
+}
+
+void PrimaryChange::Deposed(const std::vector<Member*>& primaries) {
+  LogStatuses("deposed");
+  bool unanswered = false;
+  for (const Member* primary : primaries) {
+    const auto& status = primary->status;
+    if (status && status->role == ReplicationRole::kReplica) {
+      m_context.directory.MarkDemoted(primary->server.id);
+      m_deposed = m_deposed || is_old_primary(*primary);
+    } else {
+      unanswered = true;
+    }
+  }
+  // While a replica receives, proxies may renew the lease of the old primary.
+  if (old_primary_serves() &&
+      (unanswered || (m_context.needs_leases() && !m_deposed)))
+    return ResumeAndEnd(Outcome::kFailed, "the old primary was not deposed");
+  if (m_deposed || !m_context.needs_leases())
+    return Promote();
+  AwaitLeaseEnd();
+}
+
+void PrimaryChange::AwaitLeaseEnd() {
+  DeposeIfItReturns();
+  const TimePoint end = m_paused_at + PrimaryLease::kPromotionDelay;
+  m_context.timers.After(std::max(end - m_context.timers.now(), Duration(0)),
+                         [self = shared_from_this()] { self->VerifyPaused(); });
+}
+
+void PrimaryChange::DeposeIfItReturns() {
+  const auto old_primary = m_members.find(m_options.old_primary);
+  if (old_primary == m_members.end() || !m_on_end)
+    return;
+  Member& member = old_primary->second;
+  m_ports.open(member.server, kReturnProbeTimeout,
+               [self = shared_from_this(), &member](auto opened) {
+                 if (!self->m_on_end)
+                   return;
+                 if (opened) {
+                   member.session = std::move(opened.value());
+                   return self->Command(member, CommandKind::kStepDown,
+                                        [](bool) {});
+                 }
+                 self->m_context.timers.After(
+                     kPollInterval, [self] { self->DeposeIfItReturns(); });
+               });
+}
+
+void PrimaryChange::VerifyPaused() {
+  std::vector<Member*> paused;
+  for (auto& [id, member] : m_members) {
+    if (member.paused)
+      paused.push_back(&member);
+  }
+  CommandAll(paused, CommandKind::kStatus, [self = shared_from_this(), paused] {
+    for (const Member* member : paused) {
+      if (!member->status || member->status->paused_term != self->m_pause_term)
+        return self->ResumeAndEnd(Outcome::kFailed,
+                                  "a replica did not stay paused");
+    }
+    if (!self->MembersUnchanged())
+      return self->ResumeAndEnd(Outcome::kFailed, kMembersChanged);
+    self->Promote();
+  });
+}
+
 void PrimaryChange::Promote() {
+  if (m_context.timers.now() >= m_claimed_at + kPromotionTimeLimit) {
+    constexpr const char* kOvertaken = "the claim may have been overtaken";
+    // An earlier call may still take effect; the replicas stay paused then.
+    if (m_promote_calls > 0)
+      return End(Outcome::kFailed, kOvertaken);
+    return ResumeAndEnd(Outcome::kFailed, kOvertaken);
+  }
   ++m_promote_calls;
   Log("promote",
       {{"instance", m_candidate.value()},
@@ -297,8 +393,7 @@
       return ResumeAndEnd(Outcome::kFailed, result.error().message);
     return End(Outcome::kFailed, result.error().message);
   }
-  if (m_promote_calls < kMaxPromoteCalls &&
-      m_context.timers.now() < m_claimed_at + kClaimTime)
+  if (m_promote_calls < kMaxPromoteCalls)
     return Promote();
   End(Outcome::kFailed,
       "promotion calls failed or were not answered; outcome unknown");
--- a/libraries/gateway/primary_change.h
+++ b/libraries/gateway/primary_change.h
@@ -36,6 +36,9 @@
  public:
   // A claim that has not been released expires after this time.
   static constexpr Duration kClaimTime = std::chrono::seconds(4);
+  // No promotion is requested later than this after the claim was sent, so that
+  // none overtakes that of the next claimant.
+  static constexpr Duration kPromotionTimeLimit = std::chrono::seconds(3);
   // Reason logged when a change ends because no replica is certain to have
   // every acknowledged commit.
   static constexpr const char* kMissingCommits =
@@ -164,6 +167,16 @@
   // left before this proxy started.
   void ReadMembers();
   void MembersRead(const Result<StoredRecord>& record);
+  // Deposes the primaries that respond, and waits for the leases on one that
+  // does not.
+  void PreparePromotion();
+  std::vector<Member*> PrimariesToDepose();
+  void Deposed(const std::vector<Member*>& primaries);
+  void AwaitLeaseEnd();
+  // Deposes the old primary if it is reachable again before the change ends.
+  void DeposeIfItReturns();
+  // Checks that no replica has restarted since it was paused.
+  void VerifyPaused();
   void Promote();
   void PromoteAnswered(Result<void> result);
   void AwaitPromotion();
@@ -189,7 +202,12 @@
   uint64_t m_pause_term = 0;
   InstanceName m_candidate;
   unsigned m_promote_calls = 0;
+  // When the claim was sent; other proxies cannot have read it earlier.
   TimePoint m_claimed_at;
+  // When all replicas had stopped receiving.
+  TimePoint m_paused_at;
+  // The old primary has reported that it is a replica.
+  bool m_deposed = false;
   TimePoint m_wait_until;
 };
 
--- a/libraries/gateway/primary_change_claim.cc
+++ b/libraries/gateway/primary_change_claim.cc
@@ -67,6 +67,7 @@
 }
 
 void PrimaryChange::WriteClaim(uint64_t expected) {
+  m_claimed_at = m_context.timers.now();
   m_ports.store.Update(
       RecordCollection::kPrimaryChanges, m_options.group.value(), expected,
       EncodeClaim({m_options.claimant.value(), m_options.attempt, false}),
@@ -126,7 +127,7 @@
                   {"complete", complete ? "yes" : "no"}});
   if (!complete)
     return ResumeAndEnd(Outcome::kNotPossible, kMissingCommits);
-  Promote();
+  PreparePromotion();
 }
 
 void PrimaryChange::Release() {
--- a/libraries/gateway/statement_execution.h
+++ b/libraries/gateway/statement_execution.h
@@ -84,5 +84,7 @@
 // this proxy's zone is partitioned, or no reachable instance was found in time.
 inline constexpr const char* kZoneIsolated = "zone_isolated";
 inline constexpr const char* kNoInstance = "no_instance_in_time";
+// The primary cannot be shown to be the current one.
+inline constexpr const char* kNoLease = "no_lease_in_time";
 
 }  // namespace jackdawturn::gateway
--- a/programs/jackdawturn/gateway_command.cc
+++ b/programs/jackdawturn/gateway_command.cc
@@ -46,7 +46,8 @@
                 .weight = settings.processor_share,
                 .configuration_wait =
                     settings.configuration_limit / kWatchesInLimit,
-                .servers_wait = settings.departure_limit / kWatchesInLimit},
+                .servers_wait = settings.departure_limit / kWatchesInLimit,
+                .promotion_deposes_primary = settings.fenced_promotions},
                {.timers = m_timers,
                 .store = *m_store,
                 .open = platform::CreateBackendOpener(m_context, m_timers),
--- a/tests/gateway/fake_group.h
+++ b/tests/gateway/fake_group.h
@@ -66,6 +66,8 @@
 
   // All promotion requests, each with its fencing token.
   std::vector<std::pair<InstanceName, uint64_t>> promotions;
+  // Whether the old primary stops leading when another one is promoted.
+  bool promotion_deposes = true;
   // Time from a command to its answer.
   Duration answer_time = kAnswerTime;
   // Number of connections opened to instances.
@@ -149,6 +151,8 @@
   using Kind = BackendCommand::Kind;
   BackendReply reply;
   reply.code = ReplyCode::kDone;
+  if (command.kind == Kind::kStepDown && instance.term < command.term)
+    instance.role = ReplicationRole::kReplica;
   const bool is_primary = instance.role == ReplicationRole::kPrimary;
   if (command.kind == Kind::kStatus && instance.busy_answers > 0) {
     --instance.busy_answers;
@@ -238,10 +242,13 @@
     Instance& chosen = m_instances.at(id);
     // The platform changes nothing when the instance is already primary.
     if (chosen.role != ReplicationRole::kPrimary) {
+      const uint64_t term = chosen.term + 1;
       for (auto& [name, instance] : m_instances) {
+        if (instance.role == ReplicationRole::kPrimary && !promotion_deposes)
+          continue;
         instance.role = ReplicationRole::kReplica;
         instance.paused_term = 0;
-        instance.term = chosen.term + 1;
+        instance.term = term;
       }
       chosen.role = ReplicationRole::kPrimary;
     }
@@ -361,6 +368,19 @@
         [this](const ClientReply& reply) { replies.push_back(reply); });
   }
 
+  // Makes reads of the primary need a lease, as where a promotion does not
+  // depose the old primary.
+  void UseLeases() {
+    group.promotion_deposes = false;
+    context.renew_lease = [this](const GroupName& name,
+                                 std::function<void()> then) {
+      renewal.Renew(name, std::move(then));
+    };
+    auto config = std::make_shared<GatewayConfig>(*context.config);
+    config->groups[GroupName("loans")].sync_replicas = 1;
+    context.config = config;
+  }
+
   // Records the primary's current position in the position history.
   void ObservePrimary() {
     context.positions[GroupName("loans")].Observe(timers.now(),
@@ -383,6 +403,7 @@
                          .directory = directory,
                          .log = log,
                          .zone = ZoneName("z")};
+  LeaseRenewal renewal{context, FakeStatus};
   std::vector<ClientReply> replies;
 };
 
--- a/tests/gateway/primary_change_test.cc
+++ b/tests/gateway/primary_change_test.cc
@@ -1,3 +1,4 @@
+#include <optional>
 #include <string>
 
 #include "gateway/fake_group.h"
@@ -18,12 +19,14 @@
     context.positions[GroupName("loans")].Observe(timers.now(), {1, 9});
   }
 
-  std::shared_ptr<PrimaryChange> Begin(Kind kind, const std::string& claimant) {
+  std::shared_ptr<PrimaryChange> Begin(Kind kind,
+                                       const std::string& claimant,
+                                       const std::string& reason = "silent") {
     return PrimaryChange::Create(
         context, {store, group.Promoter(), group.Opener(), FakeStatus},
         {.group = GroupName("loans"),
          .kind = kind,
-         .reason = "silent",
+         .reason = reason,
          .old_primary = InstanceName("p"),
          .claimant = VmName(claimant),
          .attempt = claimant},
@@ -346,4 +349,116 @@
   cr_assert(rig.group.promotions.empty());
 }
 
+// Before another instance is promoted, a primary that responds is deposed: no
+// read of it may miss a commit of its successor (seen as STALE in users' day
+// runs), and no replica that returns may acknowledge its commits (LOST).
+struct DeposeCase {
+  const char* pattern;
+  Kind kind;
+  const char* reason;
+  bool promotion_deposes;
+  bool primary_silent;
+  bool deposed;
+  // The time that passes between the pause and the promotion at least.
+  Duration delay;
+};
+
+static const DeposeCase kDeposed[] = {
+    {"planned", Kind::kPlanned, "draining", false, false, true, 0ms},
+    {"planned, promotion deposes", Kind::kPlanned, "draining", true, false,
+     false, 0ms},
+    {"stalled", Kind::kFailure, "stalled", false, false, true, 0ms},
+    {"stalled, promotion deposes", Kind::kFailure, "stalled", true, false, true,
+     0ms},
+    {"silent", Kind::kFailure, "silent", false, true, false,
+     PrimaryLease::kPromotionDelay},
+    {"silent, promotion deposes", Kind::kFailure, "silent", true, true, false,
+     0ms},
+};
+
+TABLE_TEST(gateway_primary_change, old_primary_is_deposed_first, kDeposed) {
+  const DeposeCase& row = kDeposed[*row_index];
+  ChangeRig rig;
+  if (!row.promotion_deposes)
+    rig.UseLeases();
+  rig.group.At("p").silent = row.primary_silent;
+  std::optional<TimePoint> promoted_at;
+  std::optional<TimePoint> paused_at;
+  ReplicationRole role = ReplicationRole::kPrimary;
+  rig.group.before_promotion = [&] {
+    promoted_at = rig.timers.now();
+    paused_at = paused_at.value_or(rig.timers.now());
+    role = rig.group.At("p").role;
+  };
+  const auto change = rig.Begin(row.kind, "one", row.reason);
+  change->Start();
+  for (Duration passed = 0ms; passed < 3s; passed += 1ms) {
+    rig.timers.Advance(1ms);
+    if (!paused_at && rig.group.At("b").paused_term > 0)
+      paused_at = rig.timers.now();
+  }
+  cr_assert(promoted_at && paused_at, "%s", row.pattern);
+  cr_expect_eq(role == ReplicationRole::kReplica, row.deposed, "%s",
+               row.pattern);
+  cr_expect_geq((*promoted_at - *paused_at).count(),
+                Duration(row.delay).count(), "%s", row.pattern);
+  if (row.delay == 0ms)
+    cr_expect_lt((*promoted_at - *paused_at).count(), Duration(50ms).count(),
+                 "%s", row.pattern);
+}
+
+// A replica that restarts is no longer paused, and could acknowledge commits of
+// the old primary while the promoter waits.
+Test(gateway_primary_change, replica_that_restarts_during_the_wait) {
+  ChangeRig rig;
+  rig.UseLeases();
+  rig.group.At("p").silent = true;
+  const auto change = rig.Begin(Kind::kFailure, "one");
+  change->Start();
+  rig.timers.Advance(PrimaryLease::kPromotionDelay);
+  rig.group.At("a").paused_term = 0;
+  rig.timers.Advance(2s);
+  cr_assert(rig.group.promotions.empty());
+  cr_expect_eq(rig.results.back(), PrimaryChange::Outcome::kFailed);
+  cr_expect_eq(rig.group.At("b").paused_term, 0U);
+}
+
+// A claimant that was suspended must not promote: the next one may have
+// promoted another instance, and not every platform checks the token.
+Test(gateway_primary_change, suspended_claimant_does_not_promote) {
+  for (Duration until = 2ms; until < 600ms; until += 7ms) {
+    ChangeRig rig;
+    rig.UseLeases();
+    rig.group.At("p").silent = true;
+    const auto change = rig.Begin(Kind::kFailure, "one");
+    change->Start();
+    rig.timers.Advance(400ms + until);
+    if (!rig.group.promotions.empty())
+      continue;
+    const bool claimed =
+        rig.store.Find(RecordCollection::kPrimaryChanges, "loans").has_value();
+    rig.timers.Suspend(PrimaryChange::kClaimTime);
+    rig.timers.Advance(2s);
+    if (claimed)
+      cr_expect(rig.group.promotions.empty());
+  }
+}
+
+// An instance that still believes to be primary, but whose term is older than
+// that of a replica, is not taken for the group's primary.
+Test(gateway_primary_change, primary_of_an_older_term_is_not_followed) {
+  ChangeRig rig;
+  rig.UseLeases();
+  rig.group.At("p").silent = true;
+  rig.group.At("a").role = ReplicationRole::kPrimary;
+  rig.group.At("b").term = 2;
+  rig.group.At("b").received = {2, 11};
+  const auto change = rig.Begin(Kind::kFailure, "one");
+  change->Start();
+  rig.timers.Advance(3s);
+  cr_assert_eq(rig.group.promotions.size(), 1U);
+  cr_expect_str_eq(rig.group.promotions.front().first.value().c_str(), "b");
+  cr_expect_eq(rig.group.At("a").role, ReplicationRole::kReplica);
+}
+
 }  // namespace jackdawturn::gateway
--- a/tests/gateway/virtual_timers.h
+++ b/tests/gateway/virtual_timers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -36,14 +37,18 @@
     const TimePoint end = m_now + time;
     while (!m_actions.empty() && m_actions.begin()->first.first <= end) {
       const auto first = m_actions.begin();
-      m_now = first->first.first;
+      m_now = std::max(m_now, first->first.first);
       const auto action = std::move(first->second);
       m_actions.erase(first);
       action();
     }
-    m_now = end;
+    m_now = std::max(m_now, end);
   }
 
+  // Advances the clock without running any action, as when the process is
+  // suspended.
+  void Suspend(Duration time) { m_now += time; }
+
  private:
   // Far from zero, so that durations can be subtracted.
   TimePoint m_now{std::chrono::hours(1)};
