--- a/libraries/gateway/local_statement_execution.cc
+++ b/libraries/gateway/local_statement_execution.cc
@@ -19,9 +19,6 @@
 // For this time after a refusal as lagging, a replica receives no read whose
 // position it is not known to have.
 constexpr Duration kLaggingBackoff = 250ms;
-// Covers the resolution of PositionHistory and the time from the client's first
-// byte until a position is chosen.
-constexpr Duration kStalenessMargin = 50ms;
 // The time for which replicas are assumed not to have applied a commit of the
 // session itself.
 constexpr Duration kTypicalReplicationLag = 250ms;
@@ -228,21 +225,6 @@
   SendStatement();
 }
 
-bool LocalStatementExecution::lease_suffices() const {
-  const GroupName& group = m_input.route.group;
-  // A replaced primary cannot have a commit acknowledged that needs a replica.
-  if (m_input.writes() && !m_input.in_transaction() &&
-      m_context.CommitsReachReplicas(group))
-    return true;
-  const Duration max_staleness =
-      m_input.writes() || m_input.route.freshness == ReadFreshness::kPrimary
-          ? Duration(0)
-          : std::max(m_input.route.max_staleness - kStalenessMargin,
-                     Duration(0));
-  return m_context.HasLease(group, m_target,
-                            m_context.timers.now() - max_staleness);
-}
-
 void LocalStatementExecution::BeginTransaction() {
   const bool read_only =
       m_input.transaction == Transaction::kReadOnly && m_required;
@@ -396,59 +378,6 @@
   FinishUnanswered("the connection broke");
 }
 
-void LocalStatementExecution::RecordPosition(const BackendReply& reply) {
-  if (!reply.position)
-    return;
-  // Only a reply that the instance gave as primary shows the log's position.
-  const bool confirmed_primary = m_input.writes() || m_implicit_transaction ||
-                                 m_input.transaction == Transaction::kReadWrite;
-  if (target_is_primary()) {
-    if (confirmed_primary && !m_input.is_commit())
-      ObservePrimary(*reply.position);
-    return;
-  }
-  m_context.lag_monitor.Served(m_target);
-  RenewLeaseByReplica(*reply.position);
-  auto& applied = m_context.progress[m_target].applied;
-  applied = applied ? std::max(*applied, *reply.position) : *reply.position;
-}
-
-void LocalStatementExecution::ObservePrimary(CommitPosition position) {
-  const GroupName& group = m_input.route.group;
-  TimePoint covered = m_sent_at;
-  if (m_context.needs_leases()) {
-    const auto lease_end = m_context.leases.End(group, m_target);
-    if (!lease_end)
-      return;
-    // Commits of a later primary may have been acknowledged after that.
-    covered = std::min(covered, *lease_end);
-  }
-  m_context.positions[group].Observe(covered, position);
-}
-
-void LocalStatementExecution::RenewLeaseByCommit(const BackendReply& reply) {
-  const bool committed = m_input.in_transaction()
-                             ? m_input.is_commit() && m_input.changes_data()
-                             : m_input.writes();
-  if (committed && reply.position && m_context.needs_leases() &&
-      m_context.CommitsReachReplicas(m_input.route.group))
-    m_context.leases.Confirm(m_input.route.group, m_target,
-                             reply.position->term, m_sent_at);
-}
-
-void LocalStatementExecution::RenewLeaseByReplica(CommitPosition position) {
-  const GroupName& group = m_input.route.group;
-  const BackendServer* primary = m_context.directory.Primary(group);
-  if (!m_context.needs_leases() || !primary ||
-      m_context.leases.Term(group, primary->id) != position.term)
-    return;
-  const auto committed_after =
-      m_context.positions[group].LastSeenBefore(position);
-  if (committed_after)
-    m_context.leases.Confirm(group, primary->id, position.term,
-                             *committed_after);
-}
-
 void LocalStatementExecution::StatementReplied(const BackendReply& reply) {
   if (reply.code == ReplyCode::kDone) {
     RenewLeaseByCommit(reply);
--- a/libraries/gateway/local_statement_execution.h
+++ b/libraries/gateway/local_statement_execution.h
@@ -25,6 +25,10 @@
   void Abandon() override;
 
  private:
+  // Covers the resolution of PositionHistory and the time from the client's
+  // first byte until a position is chosen.
+  static constexpr Duration kStalenessMargin = std::chrono::milliseconds(50);
+
   LocalStatementExecution(GatewayContext& context, Input input, OnDone on_done);
 
   bool needs_primary() const;
--- /dev/null
+++ b/libraries/gateway/local_statement_positions.cc
@@ -0,0 +1,75 @@
+#include <algorithm>
+
+#include "gateway/local_statement_execution.h"
+
+namespace jackdawturn::gateway {
+
+bool LocalStatementExecution::lease_suffices() const {
+  const GroupName& group = m_input.route.group;
+  // A replaced primary cannot have a commit acknowledged that needs a replica.
+  if (m_input.writes() && !m_input.in_transaction() &&
+      m_context.CommitsReachReplicas(group))
+    return true;
+  const Duration max_staleness =
+      m_input.writes() || m_input.route.freshness == ReadFreshness::kPrimary
+          ? Duration(0)
+          : std::max(m_input.route.max_staleness - kStalenessMargin,
+                     Duration(0));
+  return m_context.HasLease(group, m_target,
+                            m_context.timers.now() - max_staleness);
+}
+
+void LocalStatementExecution::RecordPosition(const BackendReply& reply) {
+  if (!reply.position)
+    return;
+  // Only a reply that the instance gave as primary shows the log's position.
+  const bool confirmed_primary = m_input.writes() || m_implicit_transaction ||
+                                 m_input.transaction == Transaction::kReadWrite;
+  if (target_is_primary()) {
+    if (confirmed_primary && !m_input.is_commit())
+      ObservePrimary(*reply.position);
+    return;
+  }
+  m_context.lag_monitor.Served(m_target);
+  RenewLeaseByReplica(*reply.position);
+  auto& applied = m_context.progress[m_target].applied;
+  applied = applied ? std::max(*applied, *reply.position) : *reply.position;
+}
+
+void LocalStatementExecution::ObservePrimary(CommitPosition position) {
+  const GroupName& group = m_input.route.group;
+  TimePoint covered = m_sent_at;
+  if (m_context.needs_leases()) {
+    const auto lease_end = m_context.leases.End(group, m_target);
+    if (!lease_end)
+      return;
+    // Commits of a later primary may have been acknowledged after that.
+    covered = std::min(covered, *lease_end);
+  }
+  m_context.positions[group].Observe(covered, position);
+}
+
+void LocalStatementExecution::RenewLeaseByCommit(const BackendReply& reply) {
+  const bool committed = m_input.in_transaction()
+                             ? m_input.is_commit() && m_input.changes_data()
+                             : m_input.writes();
+  if (committed && reply.position && m_context.needs_leases() &&
+      m_context.CommitsReachReplicas(m_input.route.group))
+    m_context.leases.Confirm(m_input.route.group, m_target,
+                             reply.position->term, m_sent_at);
+}
+
+void LocalStatementExecution::RenewLeaseByReplica(CommitPosition position) {
+  const GroupName& group = m_input.route.group;
+  const BackendServer* primary = m_context.directory.Primary(group);
+  if (!m_context.needs_leases() || !primary ||
+      m_context.leases.Term(group, primary->id) != position.term)
+    return;
+  const auto committed_after =
+      m_context.positions[group].LastSeenBefore(position);
+  if (committed_after)
+    m_context.leases.Confirm(group, primary->id, position.term,
+                             *committed_after);
+}
+
+}  // namespace jackdawturn::gateway
--- a/libraries/gateway/primary_change.h
+++ b/libraries/gateway/primary_change.h
@@ -43,6 +43,9 @@
   // every acknowledged commit.
   static constexpr const char* kMissingCommits =
       "commits of an instance that has left may be missing";
+  // As kMissingCommits, because a member may not have been paused.
+  static constexpr const char* kMembersChanged =
+      "instances of the group joined or restarted during the change";
 
   enum class Kind {
     kPlanned,
