Gateway: Acknowledge a commit during a change only if it survives

Callers saw writes answered as done that the next primary did not have (LOST).

Cause: a change pauses the replicas that its claimant knows and then promotes one. A replica that restarts afterwards is not paused any more, and the old primary, which proxies other than the claimant may still reach, can have commits acknowledged by it. For a promotion that is answered the window is a few hundred ms; for one that the platform carries out seconds after it was given up, it is as long as that, because nobody replaced the claim: the primary served, so it was not suspected.

Change: proxies watch the records of the changes. While a promotion may be carried out, a proxy passes an acknowledgement of the old term on only when the successor of a switchover has received the commit, or when the change has ended with it; otherwise the caller is told that the outcome is unknown. A lease is not renewed in that time either. A claim whose claimant has gone, and a change that ended with an unanswered promotion, is replaced by a switchover, whose newer token makes the platform refuse the old call. A change that was refused every time resumes the replicas at once.

Evidence: invariants_fenced_changes, new, drives the real GatewayHost where promotions are fenced, with promotions carried out 2 to 12 s late, instances that restart again and again and proxies that are killed.

--- /dev/null
+++ b/libraries/gateway/commit_confirmation.cc
@@ -0,0 +1,96 @@
+#include "gateway/commit_confirmation.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+
+constexpr Duration kCheckInterval = 10ms;
+
+}  // namespace
+
+CommitConfirmation::CommitConfirmation(GatewayContext& context,
+                                       ReadStatusRow read_status)
+    : m_context(context),
+      m_status(context, std::move(read_status)),
+      m_self(std::make_shared<CommitConfirmation*>(this)) {}
+
+CommitConfirmation::~CommitConfirmation() {
+  *m_self = nullptr;
+}
+
+void CommitConfirmation::Confirm(const GroupName& group,
+                                 CommitPosition position,
+                                 TimePoint deadline,
+                                 OnDecision on_decision) {
+  if (!m_context.ChangePending(group, position.term))
+    return on_decision(true);
+  const auto commit = std::make_shared<Commit>();
+  commit->group = group;
+  commit->position = position;
+  commit->deadline = deadline;
+  commit->on_decision = std::move(on_decision);
+  Check(commit);
+}
+
+void CommitConfirmation::Check(const CommitPtr& commit) {
+  const TimePoint now = m_context.timers.now();
+  if (!m_context.ChangePending(commit->group, commit->position.term))
+    return Decide(commit, Survives(*commit));
+  if (now >= commit->deadline)
+    return Decide(commit, false);
+  const PrimaryChangeRecord& change =
+      *m_context.changes.Pending(commit->group, now);
+  commit->attempt = change.attempt;
+  if (!change.ended && !change.candidate.empty())
+    return AskCandidate(commit, change.candidate);
+  CheckLater(commit);
+}
+
+void CommitConfirmation::CheckLater(const CommitPtr& commit) {
+  const Duration left =
+      std::max(commit->deadline - m_context.timers.now(), Duration(0));
+  m_context.timers.After(std::min(kCheckInterval, left),
+                         [self = m_self, commit] {
+                           if (*self)
+                             (*self)->Check(commit);
+                         });
+}
+
+void CommitConfirmation::AskCandidate(const CommitPtr& commit,
+                                      const InstanceName& candidate) {
+  m_status.Request(candidate, [self = m_self, commit](const auto& status) {
+    if (!*self)
+      return;
+    // What a replica has received when it is promoted, it keeps.
+    if (status && status->role == ReplicationRole::kReplica &&
+        status->received.term == commit->position.term &&
+        status->received >= commit->position)
+      return (*self)->Decide(commit, true);
+    (*self)->CheckLater(commit);
+  });
+}
+
+bool CommitConfirmation::Survives(const Commit& commit) const {
+  const PrimaryChangeRecord* last = m_context.changes.Last(commit.group);
+  if (!last || last->attempt != commit.attempt || !last->ended)
+    return false;
+  if (last->promoted.empty())
+    return true;
+  // The new primary itself has acknowledged the commit.
+  if (last->promoted_term > 0 && commit.position.term >= last->promoted_term)
+    return true;
+  return last->received.term == commit.position.term &&
+         last->received >= commit.position;
+}
+
+void CommitConfirmation::Decide(const CommitPtr& commit, bool survives) {
+  if (!std::exchange(commit->decided, true))
+    commit->on_decision(survives);
+}
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/libraries/gateway/commit_confirmation.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "gateway/gateway_context.h"
+#include "gateway/instance_status.h"
+
+namespace jackdawturn::gateway {
+
+// Decides whether an acknowledged commit survives the change of the group's
+// primary that is in progress.
+//
+// The claimant of a change pauses the replicas that it knows. A replica that
+// restarts afterwards, or that the claimant does not know, still lets the old
+// primary acknowledge commits, and the promoted replica may lack them. So while
+// a promotion may be carried out, such an acknowledgement is passed on only
+// when the new primary is known to have the commit. Load pattern: writes during
+// a change, or after a claimant whose promotion was not answered. Thread
+// safety: not thread-safe.
+class CommitConfirmation {
+ public:
+  using OnDecision = std::function<void(bool survives)>;
+
+  // `context` outlives this.
+  CommitConfirmation(GatewayContext& context, ReadStatusRow read_status);
+  ~CommitConfirmation();
+  CommitConfirmation(const CommitConfirmation&) = delete;
+  CommitConfirmation& operator=(const CommitConfirmation&) = delete;
+
+  // Decides on a commit whose acknowledgement has just been received; at once
+  // if no change is known to be in progress. False: the commit may be lost, or
+  // nothing was known of it by `deadline`. Precondition: a primary of the group
+  // has acknowledged `position`.
+  void Confirm(const GroupName& group,
+               CommitPosition position,
+               TimePoint deadline,
+               OnDecision on_decision);
+
+ private:
+  struct Commit {
+    GroupName group;
+    CommitPosition position;
+    TimePoint deadline;
+    OnDecision on_decision;
+    // The attempt of the change that was in progress last.
+    std::string attempt;
+    bool decided = false;
+  };
+  using CommitPtr = std::shared_ptr<Commit>;
+
+  void Check(const CommitPtr& commit);
+  void CheckLater(const CommitPtr& commit);
+  // Asks the instance that is to be promoted for its position.
+  void AskCandidate(const CommitPtr& commit, const InstanceName& candidate);
+  bool Survives(const Commit& commit) const;
+  void Decide(const CommitPtr& commit, bool survives);
+
+  GatewayContext& m_context;
+  InstanceStatus m_status;
+  // Null once this object is destroyed; callbacks may run after that.
+  std::shared_ptr<CommitConfirmation*> m_self;
+};
+
+}  // namespace jackdawturn::gateway
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -6,11 +6,13 @@
 #include "gateway/backend_pool.h"                 // IWYU pragma: export
 #include "gateway/backend_session.h"              // IWYU pragma: export
 #include "gateway/client_session.h"               // IWYU pragma: export
+#include "gateway/commit_confirmation.h"            // IWYU pragma: export
 #include "gateway/gateway_context.h"              // IWYU pragma: export
 #include "gateway/gateway_host.h"                 // IWYU pragma: export
 #include "gateway/gateway_log.h"                  // IWYU pragma: export
 #include "gateway/gateway_types.h"                // IWYU pragma: export
 #include "gateway/group_members.h"                // IWYU pragma: export
+#include "gateway/instance_status.h"              // IWYU pragma: export
 #include "gateway/lease_renewal.h"                // IWYU pragma: export
 #include "gateway/local_statement_execution.h"    // IWYU pragma: export
 #include "gateway/metadata_store.h"               // IWYU pragma: export
@@ -18,6 +20,7 @@
 #include "gateway/peer_directory.h"               // IWYU pragma: export
 #include "gateway/position_history.h"             // IWYU pragma: export
 #include "gateway/primary_change.h"               // IWYU pragma: export
+#include "gateway/primary_change_record.h"        // IWYU pragma: export
 #include "gateway/primary_failure_detector.h"     // IWYU pragma: export
 #include "gateway/primary_lease.h"                // IWYU pragma: export
 #include "gateway/read_selection.h"               // IWYU pragma: export
--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -11,6 +11,7 @@
 #include "gateway/other_zone_reachability.h"
 #include "gateway/peer_directory.h"
 #include "gateway/position_history.h"
+#include "gateway/primary_change_record.h"
 #include "gateway/primary_failure_detector.h"
 #include "gateway/primary_lease.h"
 #include "gateway/replica_lag_monitor.h"
@@ -28,12 +29,6 @@
   TimePoint lagging_until;
 };
 
-// A claim to a group's primary change, as first observed by this proxy.
-struct SeenClaim {
-  uint64_t revision = 0;
-  TimePoint first_seen;
-};
-
 // State shared by all sessions of a proxy. Thread safety: not thread-safe.
 struct GatewayContext {
   Timers& timers;
@@ -49,7 +44,7 @@
   std::shared_ptr<const GatewayConfig> config;
   std::map<GroupName, PositionHistory> positions;
   std::map<InstanceName, ReplicaProgress> progress;
-  std::map<GroupName, SeenClaim> claims;
+  KnownPrimaryChanges changes;
   PrimaryFailureDetector failure_detector;
   ReplicaLagMonitor lag_monitor;
   OtherZoneReachability zone_reachability;
@@ -59,6 +54,13 @@
   // promotion deposes the old primary, so that no lease is needed.
   std::function<void(const GroupName& group, std::function<void()> then)>
       renew_lease;
+  // Decides whether a commit survives the change of the group's primary that is
+  // in progress, see CommitConfirmation::Confirm(). Null: every commit does.
+  std::function<void(const GroupName& group,
+                     CommitPosition position,
+                     TimePoint deadline,
+                     std::function<void(bool survives)> on_decision)>
+      confirm_commit;
   // When a group last lost an instance together with its log. Before `started`,
   // such a loss may have occurred at any time, unobserved by this proxy.
   std::map<GroupName, TimePoint> last_member_loss;
@@ -79,6 +81,13 @@
     return end && time < *end;
   }
 
+  // Returns whether the primary of `term` may be replaced by a change that this
+  // proxy knows of.
+  bool ChangePending(const GroupName& group, uint64_t term) const {
+    const PrimaryChangeRecord* change = changes.Pending(group, timers.now());
+    return change && (change->term == 0 || term <= change->term);
+  }
+
   // Returns whether an acknowledged commit has been received by a replica.
   bool CommitsReachReplicas(const GroupName& group) const {
     if (!config)
--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -15,6 +15,7 @@
 // An outdated list of peers costs only a failed attempt or leads to a less
 // suitable holder.
 constexpr Duration kPeerWatchWait = 10s;
+constexpr Duration kChangeWatchWait = 10s;
 // A primary change updates two records, and both updates must be received
 // immediately. After an outage, the records of all instances are updated one by
 // one; those updates are coalesced.
@@ -45,6 +46,7 @@
                 .log = m_log,
                 .zone = m_options.zone},
       m_lease_renewal(m_context, m_ports.read_status),
+      m_commit_confirmation(m_context, m_ports.read_status),
       m_watches(m_ports.store,
                 m_peers,
                 m_ports.timers,
@@ -91,6 +93,21 @@
              StoreReachabilityChanged("peers", lost);
            }},
           {.wait = kPeerWatchWait, .coalesce_delay = kPeerCoalesceDelay}),
+      m_changes_sync(
+          m_watches,
+          m_ports.timers,
+          m_store_retries,
+          RecordCollection::kPrimaryChanges,
+          m_options.seed + 6,
+          {[this](const RecordList& list) { ChangesListed(list); },
+           [this](const RecordChange& change) {
+             if (!change.removed)
+               ChangeRecorded(change.record);
+           },
+           [this](const Error* lost) {
+             StoreReachabilityChanged("primary_changes", lost);
+           }},
+          {.wait = kChangeWatchWait}),
       m_registration(m_ports.store,
                      m_ports.timers,
                      log,
@@ -108,12 +125,18 @@
                                    std::function<void()> then) {
       m_lease_renewal.Renew(group, std::move(then));
     };
+  m_context.confirm_commit = [this](const GroupName& group,
+                                    CommitPosition position, TimePoint deadline,
+                                    CommitConfirmation::OnDecision then) {
+    m_commit_confirmation.Confirm(group, position, deadline, std::move(then));
+  };
 }
 
 void GatewayHost::Start() {
   m_configuration_sync.Start();
   m_servers_sync.Start();
   m_peers_sync.Start();
+  m_changes_sync.Start();
   Tick();
 }
 
@@ -276,6 +299,20 @@
   m_context.last_member_loss[group] = m_ports.timers.now();
 }
 
+void GatewayHost::ChangesListed(const RecordList& list) {
+  for (const StoredRecord& record : list.records)
+    ChangeRecorded(record);
+}
+
+void GatewayHost::ChangeRecorded(const StoredRecord& record) {
+  const auto change = DecodePrimaryChange(record.body);
+  if (change)
+    return m_context.changes.Observe(GroupName(record.name), record.revision,
+                                     change.value(), m_ports.timers.now());
+  m_log.LogStateChange(EventKind::kFailover, GroupName(record.name),
+                       "bad_claim", "", {{"error", change.error().message}});
+}
+
 std::optional<Peer> GatewayHost::DecodePeerRecord(const StoredRecord& record) {
   auto peer = DecodePeer(record.name, record.body);
   if (peer)
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "gateway/client_session.h"
+#include "gateway/commit_confirmation.h"
 #include "gateway/gateway_context.h"
 #include "gateway/group_members.h"
 #include "gateway/lease_renewal.h"
@@ -127,6 +128,8 @@
   void UpdateServer(const BackendServer& server);
   // Drops all state of an instance that has left.
   void ForgetServer(const GroupName& group, const InstanceName& id);
+  void ChangesListed(const RecordList& list);
+  void ChangeRecorded(const StoredRecord& record);
   void PeersListed(const RecordList& list);
   void PeerChanged(const RecordChange& change);
   std::optional<Peer> DecodePeerRecord(const StoredRecord& record);
@@ -162,11 +165,13 @@
   GatewayLog& m_log;
   GatewayContext m_context;
   LeaseRenewal m_lease_renewal;
+  CommitConfirmation m_commit_confirmation;
   SharedWatches m_watches;
   StoreRetries m_store_retries;
   StoreSync m_configuration_sync;
   StoreSync m_servers_sync;
   StoreSync m_peers_sync;
+  StoreSync m_changes_sync;
   PeerRegistration m_registration;
   MemberRecords m_member_records;
   std::map<GroupName, GroupState> m_groups;
--- a/libraries/gateway/gateway_host_changes.cc
+++ b/libraries/gateway/gateway_host_changes.cc
@@ -51,6 +51,11 @@
           m_context.failure_detector.Check(primary->id, m_ports.timers.now()))
     return ChangeReason{
         PrimaryChange::Kind::kFailure, std::string(ToString(*suspicion)), {}};
+  // A switchover uses a newer token, so that the platform refuses what was
+  // requested under the abandoned claim.
+  if (m_context.changes.Abandoned(group, m_ports.timers.now()))
+    return ChangeReason{
+        PrimaryChange::Kind::kPlanned, "abandoned_change", {}};
   if (LagSwitchoverNeeded(group, *primary))
     return ChangeReason{
         PrimaryChange::Kind::kLagSwitchover, "replicas_behind", {}};
@@ -137,7 +142,8 @@
          now + reason->min_duration + RandomDelay(m_random, {}, kStartSpread) +
              NonHolderDelay(group)});
   }
-  if (state.change || now < state.next_change)
+  if (state.change || now < state.next_change ||
+      m_context.changes.Claimed(group, now))
     return;
   StartChange(group, *reason);
 }
--- a/libraries/gateway/lease_renewal.cc
+++ b/libraries/gateway/lease_renewal.cc
@@ -6,25 +6,8 @@
 
 namespace jackdawturn::gateway {
 
-namespace {
-
-using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
-
-constexpr uint64_t kMostImportant = 0;
-constexpr Duration kAcquireTimeout = 100ms;
-// Longer than an instance takes for the statements that are in progress.
-constexpr Duration kStatusTimeout = 150ms;
-
-}  // namespace
-
 LeaseRenewal::LeaseRenewal(GatewayContext& context, ReadStatusRow read_status)
-    : m_context(context),
-      m_read_status(std::move(read_status)),
-      m_self(std::make_shared<LeaseRenewal*>(this)) {}
-
-LeaseRenewal::~LeaseRenewal() {
-  *m_self = nullptr;
-}
+    : m_context(context), m_status(context, std::move(read_status)) {}
 
 void LeaseRenewal::Renew(const GroupName& group, std::function<void()> then) {
   const auto [attempt, added] = m_attempts.try_emplace(group);
@@ -68,7 +51,7 @@
     return End(group, "no_replica_receives");
   const InstanceName replica = attempt.replicas.back();
   attempt.replicas.pop_back();
-  RequestStatus(replica,
+  m_status.Request(replica,
                 [this, group, replica,
                  sent_at = m_context.timers.now()](const auto& status) {
                   if (status)
@@ -90,14 +73,16 @@
     m_context.directory.MarkPromoted(group, replica);
     return End(group, "replaced");
   }
-  // A paused replica may have been paused for a change that has not ended.
-  if (status.paused_term > 0 || status.term < term)
+  // A paused replica may have been paused for a change that has not ended. One
+  // that has restarted meanwhile is not paused any more.
+  if (status.paused_term > 0 || status.term < term ||
+      m_context.ChangePending(group, status.term))
     return AskNextReplica(group);
   if (status.term == term) {
     Confirm(group, term, sent_at);
     return End(group, nullptr);
   }
-  RequestStatus(primary, [this, group, sent_at,
+  m_status.Request(primary, [this, group, sent_at,
                           replica_term = status.term](const auto& answer) {
     PrimaryAnswered(group, replica_term, sent_at, answer);
   });
@@ -123,52 +108,6 @@
   AskNextReplica(group);
 }
 
-void LeaseRenewal::RequestStatus(const InstanceName& id, OnStatus on_status) {
-  const BackendServer* server = m_context.directory.Find(id);
-  if (!server)
-    return on_status(std::nullopt);
-  m_context.pool.Acquire(
-      *server, kMostImportant, kAcquireTimeout,
-      [self = m_self, on_status = std::move(on_status)](auto connection) {
-        if (!*self)
-          return;
-        if (!connection)
-          return on_status(std::nullopt);
-        (*self)->SendStatusRequest(std::move(connection.value()), on_status);
-      });
-}
-
-void LeaseRenewal::SendStatusRequest(BackendPool::ConnectionPtr connection,
-                                     const OnStatus& on_status) {
-  const auto shared =
-      std::make_shared<BackendPool::ConnectionPtr>(std::move(connection));
-  const auto timer = m_context.timers.After(
-      kStatusTimeout, [self = m_self, shared, on_status] {
-        if (!*self || !*shared)
-          return;
-        (*self)->m_context.pool.Discard(std::move(*shared));
-        on_status(std::nullopt);
-      });
-  (*shared)->session->Send(
-      {{.kind = BackendCommand::Kind::kStatus}},
-      [self = m_self, shared, timer, on_status](const auto& replies) {
-        if (!*self || !*shared)
-          return;
-        GatewayContext& context = (*self)->m_context;
-        context.timers.Cancel(timer);
-        if (!replies) {
-          context.pool.Discard(std::move(*shared));
-          return on_status(std::nullopt);
-        }
-        context.pool.Release(std::move(*shared));
-        const BackendReply& reply = replies.value().front();
-        if (reply.code != ReplyCode::kDone)
-          return on_status(std::nullopt);
-        const auto status = (*self)->m_read_status(reply);
-        on_status(status ? std::optional(status.value()) : std::nullopt);
-      });
-}
-
 void LeaseRenewal::Confirm(const GroupName& group,
                            uint64_t term,
                            TimePoint sent_at) {
--- a/libraries/gateway/lease_renewal.h
+++ b/libraries/gateway/lease_renewal.h
@@ -2,12 +2,12 @@
 
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <set>
 #include <vector>
 
 #include "gateway/gateway_context.h"
+#include "gateway/instance_status.h"
 
 namespace jackdawturn::gateway {
 
@@ -19,7 +19,6 @@
  public:
   // `context` outlives this.
   LeaseRenewal(GatewayContext& context, ReadStatusRow read_status);
-  ~LeaseRenewal();
   LeaseRenewal(const LeaseRenewal&) = delete;
   LeaseRenewal& operator=(const LeaseRenewal&) = delete;
 
@@ -28,8 +27,6 @@
   void Renew(const GroupName& group, std::function<void()> then);
 
  private:
-  using OnStatus = std::function<void(std::optional<ReplicationStatus> status)>;
-
   struct Attempt {
     InstanceName primary;
     // The replicas that have not been asked, the next one last.
@@ -48,21 +45,14 @@
                        uint64_t replica_term,
                        TimePoint sent_at,
                        const std::optional<ReplicationStatus>& status);
-  // Requests an instance's status on a pooled connection. Passes nullopt if it
-  // does not answer in time, is busy or unknown.
-  void RequestStatus(const InstanceName& id, OnStatus on_status);
-  void SendStatusRequest(BackendPool::ConnectionPtr connection,
-                         const OnStatus& on_status);
   void Confirm(const GroupName& group, uint64_t term, TimePoint sent_at);
   void End(const GroupName& group, const char* failure);
 
   GatewayContext& m_context;
-  const ReadStatusRow m_read_status;
+  InstanceStatus m_status;
   std::map<GroupName, Attempt> m_attempts;
   // Groups whose last attempt failed.
   std::set<GroupName> m_failed;
-  // Null once this object is destroyed; callbacks may run after that.
-  std::shared_ptr<LeaseRenewal*> m_self;
 };
 
 }  // namespace jackdawturn::gateway
--- a/libraries/gateway/local_statement_execution.cc
+++ b/libraries/gateway/local_statement_execution.cc
@@ -395,9 +395,26 @@
   ReleaseConnection();
   if (!done && movable && RetryIfNotRun(reply))
     return;
+  if (done && m_input.changes_data())
+    return FinishCommit(std::move(answer));
   Finish(std::move(answer));
 }
 
+void LocalStatementExecution::FinishCommit(ClientReply answer) {
+  if (!m_context.confirm_commit || !answer.position)
+    return Finish(std::move(answer));
+  const CommitPosition position = *answer.position;
+  m_context.confirm_commit(
+      m_input.route.group, position, m_deadline,
+      [self = shared_from_this(), position,
+       answer = std::move(answer)](bool survives) {
+        if (survives)
+          return self->Finish(answer);
+        self->Log("unconfirmed", {{"position", ToString(position)}});
+        self->FinishUnanswered("the primary was being replaced");
+      });
+}
+
 bool LocalStatementExecution::RetryIfNotRun(const BackendReply& reply) {
   if (!GuaranteesNotRun(reply.code))
     return false;
--- a/libraries/gateway/local_statement_execution.h
+++ b/libraries/gateway/local_statement_execution.h
@@ -79,6 +79,9 @@
   // is at capacity.
   void ReportPrimaryFull();
   void Refuse(const std::string& reason);
+  // Passes the answer to a write or commit on once it is certain not to be lost
+  // with the primary.
+  void FinishCommit(ClientReply answer);
   // Returns the connection to the pool, after a rollback if a transaction is
   // open.
   void ReleaseConnection();
--- a/libraries/gateway/primary_change.cc
+++ b/libraries/gateway/primary_change.cc
@@ -86,6 +86,37 @@
   return true;
 }
 
+bool PrimaryChange::DetectEarlierPromotion() {
+  const Member* primary = CurrentPrimary();
+  if (!m_superseded || m_superseded->term == 0 || !primary ||
+      primary->status->term <= m_superseded->term)
+    return false;
+  m_context.directory.MarkPromoted(m_options.group, primary->server.id);
+  m_promoted = primary->server.id;
+  m_promoted_term = primary->status->term;
+  return true;
+}
+
+uint64_t PrimaryChange::NewestTerm() const {
+  uint64_t newest = 0;
+  for (const auto& [id, member] : m_members) {
+    if (member.status)
+      newest = std::max(newest, member.status->term);
+  }
+  return newest;
+}
+
+bool PrimaryChange::ChooseSuccessor() {
+  std::vector<PromotionCandidate> non_draining = Replicas();
+  std::erase_if(non_draining,
+                [](const auto& member) { return member.draining; });
+  const auto chosen = ChooseNewPrimary(non_draining);
+  if (!chosen)
+    return false;
+  m_candidate = *chosen;
+  return true;
+}
+
 bool PrimaryChange::OldPrimaryReachable() const {
   const auto old_primary = m_members.find(m_options.old_primary);
   if (old_primary == m_members.end() || !old_primary->second.reachable)
@@ -122,11 +153,17 @@
     return End(Outcome::kNotPossible, "a replica does not answer");
   if (Replicas().empty())
     return End(Outcome::kNotPossible, "the group has no replica");
+  if (old_primary_serves() && !ChooseSuccessor())
+    return End(Outcome::kNotPossible, "every replica is leaving");
   ReadClaim();
 }
 
-void PrimaryChange::Claimed(uint64_t revision) {
+void PrimaryChange::Claimed(const StoredRecord& claim) {
+  const uint64_t revision = claim.revision;
   m_token = revision;
+  if (const auto record = DecodePrimaryChange(claim.body))
+    m_context.changes.Observe(m_options.group, revision, record.value(),
+                              m_context.timers.now());
   Log("claim",
       {{"token", std::to_string(revision)}, {"reason", m_options.reason}});
   CommandAll(RespondingMembers(), CommandKind::kStatus,
@@ -135,7 +172,7 @@
 
 void PrimaryChange::ReprobedAfterClaim() {
   LogStatuses("status");
-  if (DetectNewPrimary()) {
+  if (DetectEarlierPromotion() || DetectNewPrimary()) {
     Release();
     return End(Outcome::kNotNeeded,
                "another instance was promoted by an earlier change");
@@ -173,17 +210,6 @@
           {m_pause_term, member.status->term, member.status->paused_term});
   }
   ++m_pause_term;
-  if (old_primary_serves()) {
-    std::vector<PromotionCandidate> non_draining = Replicas();
-    std::erase_if(non_draining,
-                  [](const auto& member) { return member.draining; });
-    const auto chosen = ChooseNewPrimary(non_draining);
-    if (!chosen) {
-      Release();
-      return End(Outcome::kNotPossible, "every replica is leaving");
-    }
-    m_candidate = *chosen;
-  }
   std::vector<Member*> paused;
   for (auto& [id, member] : m_members) {
     if (!is_old_primary(member) && id != m_candidate)
@@ -273,11 +299,12 @@
   if (m_context.timers.now() >= m_claimed_at + kPromotionTimeLimit) {
     constexpr const char* kOvertaken = "the claim may have been overtaken";
     // An earlier call may still take effect; the replicas stay paused then.
-    if (m_promote_calls > 0)
+    if (m_promotion_unanswered)
       return End(Outcome::kFailed, kOvertaken);
     return ResumeAndEnd(Outcome::kFailed, kOvertaken);
   }
   ++m_promote_calls;
+  m_promoted_received = Find(m_candidate)->status->received;
   Log("promote",
       {{"instance", m_candidate.value()},
        {"token", std::to_string(m_token)},
@@ -291,20 +318,25 @@
 
 void PrimaryChange::PromoteAnswered(Result<void> result) {
   if (result) {
+    m_promoted = m_candidate;
     m_wait_until = m_context.timers.now() + kPromotedStatusTimeout;
     return AwaitPromotion();
   }
   Log("promote_failed", {{"error", result.error().message}});
+  if (result.error().code == ErrorCode::kTimeout)
+    m_promotion_unanswered = true;
   if (result.error().code == ErrorCode::kConflict) {
     // Another proxy has used a newer token, or the instance is not running. An
     // earlier call with unknown outcome may still take effect; the replicas are
     // not resumed in that case.
-    if (m_promote_calls == 1)
+    if (!m_promotion_unanswered)
       return ResumeAndEnd(Outcome::kFailed, result.error().message);
     return End(Outcome::kFailed, result.error().message);
   }
   if (m_promote_calls < kMaxPromoteCalls)
     return Promote();
+  if (!m_promotion_unanswered)
+    return ResumeAndEnd(Outcome::kFailed, "the promotion was refused");
   End(Outcome::kFailed,
       "promotion calls failed or were not answered; outcome unknown");
 }
@@ -316,6 +348,7 @@
     if (answered && status->role == ReplicationRole::kPrimary) {
       m_context.directory.MarkPromoted(m_options.group, m_candidate);
       m_context.failure_detector.Forget(m_candidate);
+      m_promoted_term = status->term;
       // Replicas that the promotion has not resumed would continue to lag.
       return ResumeAndEnd(Outcome::kPromoted, "");
     }
--- a/libraries/gateway/primary_change.h
+++ b/libraries/gateway/primary_change.h
@@ -34,8 +34,6 @@
 // Thread safety: not thread-safe.
 class PrimaryChange : public std::enable_shared_from_this<PrimaryChange> {
  public:
-  // A claim that has not been released expires after this time.
-  static constexpr Duration kClaimTime = std::chrono::seconds(4);
   // No promotion is requested later than this after the claim was sent, so that
   // none overtakes that of the next claimant.
   static constexpr Duration kPromotionTimeLimit = std::chrono::seconds(3);
@@ -142,6 +140,9 @@
   // Returns whether an instance other than the old primary is primary, and
   // marks it as promoted in the directory.
   bool DetectNewPrimary();
+  // Returns whether a promotion of an earlier, unresolved change was carried
+  // out, and marks its instance as promoted in the directory.
+  bool DetectEarlierPromotion();
   // Returns whether the old primary is reachable and has not reported that it
   // is a replica.
   bool OldPrimaryReachable() const;
@@ -154,7 +155,7 @@
   void WriteClaim(uint64_t expected);
   void ClaimWritten(Result<StoredRecord> record);
   void ReadBackClaim();
-  void Claimed(uint64_t revision);
+  void Claimed(const StoredRecord& claim);
   void LogStatuses(const std::string& step) const;
   // Returns whether the old primary serves until it is replaced.
   bool old_primary_serves() const { return m_kind != Kind::kFailure; }
@@ -182,7 +183,13 @@
   void VerifyPaused();
   void Promote();
   void PromoteAnswered(Result<void> result);
+  // Chooses the replica that takes over in a switchover. Returns whether there
+  // is one.
+  bool ChooseSuccessor();
+  // Returns the newest term that an instance has reported.
+  uint64_t NewestTerm() const;
   void AwaitPromotion();
+  // Ends the claim and records what came of the change.
   void Release();
   void ResumeAndEnd(Outcome outcome, const std::string& why);
   void End(Outcome outcome, const std::string& why);
@@ -205,6 +212,16 @@
   uint64_t m_pause_term = 0;
   InstanceName m_candidate;
   unsigned m_promote_calls = 0;
+  // A promotion was requested and not answered, so it may still be carried out.
+  bool m_promotion_unanswered = false;
+  // The earlier claim that this one replaces, if a promotion under it may still
+  // be carried out.
+  std::optional<PrimaryChangeRecord> m_superseded;
+  // The new primary, its term if that is known, and the last position that it
+  // is known to have received before it was promoted.
+  InstanceName m_promoted;
+  uint64_t m_promoted_term = 0;
+  CommitPosition m_promoted_received;
   // When the claim was sent; other proxies cannot have read it earlier.
   TimePoint m_claimed_at;
   // When all replicas had stopped receiving.
--- a/libraries/gateway/primary_change_claim.cc
+++ b/libraries/gateway/primary_change_claim.cc
@@ -1,7 +1,5 @@
 #include <utility>
 
-#include <boost/json.hpp>
-
 #include "gateway/group_members.h"
 #include "gateway/primary_change.h"
 
@@ -13,30 +11,6 @@
 
 constexpr Duration kStoreTimeout = 800ms;
 
-// The record of a group in RecordCollection::kPrimaryChanges.
-struct Claim {
-  std::string claimant;
-  std::string attempt;
-  bool ended = false;
-};
-
-std::string EncodeClaim(const Claim& claim) {
-  return boost::json::serialize(boost::json::object{{"holder", claim.claimant},
-                                                    {"attempt", claim.attempt},
-                                                    {"ended", claim.ended}});
-}
-
-Result<Claim> DecodeClaim(const std::string& body) {
-  constexpr const char* kStep = "change.claim";
-  TRY(const boost::json::value value, ParseJson(body, kStep));
-  TRY(const JsonFields fields, JsonFields::Create(value, kStep));
-  Claim claim;
-  TRY(claim.claimant, fields.String("holder"));
-  TRY(claim.attempt, fields.String("attempt"));
-  TRY(claim.ended, fields.Boolean("ended"));
-  return claim;
-}
-
 }  // namespace
 
 void PrimaryChange::ReadClaim() {
@@ -52,17 +26,18 @@
       return WriteClaim(0);
     return End(Outcome::kFailed, record.error().message);
   }
-  const auto claim = DecodeClaim(record.value().body);
-  if (!claim)
+  const auto claim = DecodePrimaryChange(record.value().body);
+  if (claim) {
+    // The age of a claim counts from when this proxy first saw it.
+    m_context.changes.Observe(m_options.group, record.value().revision,
+                              claim.value(), m_context.timers.now());
+    if (m_context.changes.Claimed(m_options.group, m_context.timers.now()))
+      return End(Outcome::kClaimedByOther, claim.value().claimant.value());
+    if (m_context.changes.Pending(m_options.group, m_context.timers.now()))
+      m_superseded = claim.value();
+  } else {
     Log("bad_claim", {{"error", claim.error().message}});
-  // The age of a claim is measured on this proxy's clock, from the time at
-  // which this proxy first read it.
-  auto& seen = m_context.claims[m_options.group];
-  if (seen.revision != record.value().revision)
-    seen = {record.value().revision, m_context.timers.now()};
-  const bool active = claim && !claim.value().ended;
-  if (active && m_context.timers.now() < seen.first_seen + kClaimTime)
-    return End(Outcome::kClaimedByOther, claim.value().claimant);
+  }
   WriteClaim(record.value().revision);
 }
 
@@ -70,7 +45,10 @@
   m_claimed_at = m_context.timers.now();
   m_ports.store.Update(
       RecordCollection::kPrimaryChanges, m_options.group.value(), expected,
-      EncodeClaim({m_options.claimant.value(), m_options.attempt, false}),
+      EncodePrimaryChange({.claimant = m_options.claimant,
+                           .attempt = m_options.attempt,
+                           .term = NewestTerm(),
+                           .candidate = m_candidate}),
       kStoreTimeout, [self = shared_from_this()](auto record) {
         self->ClaimWritten(std::move(record));
       });
@@ -78,7 +56,7 @@
 
 void PrimaryChange::ClaimWritten(Result<StoredRecord> record) {
   if (record)
-    return Claimed(record.value().revision);
+    return Claimed(record.value());
   if (record.error().code == ErrorCode::kTimeout)
     return ReadBackClaim();
   if (record.error().code == ErrorCode::kConflict)
@@ -93,12 +71,12 @@
       [self = shared_from_this()](auto record) {
         if (!record)
           return self->End(Outcome::kFailed, record.error().message);
-        const auto claim = DecodeClaim(record.value().body);
+        const auto claim = DecodePrimaryChange(record.value().body);
         if (!claim || claim.value().attempt != self->m_options.attempt)
           return self->End(
               Outcome::kClaimedByOther,
               "the claim was lost: the record holds another attempt");
-        self->Claimed(record.value().revision);
+        self->Claimed(record.value());
       });
 }
 
@@ -131,11 +109,25 @@
 }
 
 void PrimaryChange::Release() {
+  const bool promoted = !m_promoted.empty();
+  const PrimaryChangeRecord ended{
+      .claimant = m_options.claimant,
+      .attempt = m_options.attempt,
+      .ended = true,
+      .unresolved = !promoted && (m_superseded || m_promotion_unanswered),
+      .term = NewestTerm(),
+      .promoted = m_promoted,
+      .promoted_term = m_promoted_term,
+      .received = m_promoted_received};
   m_ports.store.Update(
       RecordCollection::kPrimaryChanges, m_options.group.value(), m_token,
-      EncodeClaim({m_options.claimant.value(), m_options.attempt, true}),
-      kStoreTimeout, [self = shared_from_this()](auto record) {
-        if (!record)
+      EncodePrimaryChange(ended), kStoreTimeout,
+      [self = shared_from_this(), ended](auto record) {
+        if (record)
+          self->m_context.changes.Observe(
+              self->m_options.group, record.value().revision, ended,
+              self->m_context.timers.now());
+        else
           self->Log("release_failed", {{"error", record.error().message}});
       });
 }
--- /dev/null
+++ b/libraries/gateway/primary_change_record.cc
@@ -0,0 +1,95 @@
+#include "gateway/primary_change_record.h"
+
+#include <boost/json.hpp>
+
+#include "core/json_fields.h"
+
+namespace jackdawturn::gateway {
+
+std::string EncodePrimaryChange(const PrimaryChangeRecord& record) {
+  boost::json::object body{{"holder", record.claimant.value()},
+                           {"attempt", record.attempt},
+                           {"ended", record.ended},
+                           {"unresolved", record.unresolved},
+                           {"term", record.term}};
+  if (!record.candidate.empty())
+    body["candidate"] = record.candidate.value();
+  if (!record.promoted.empty()) {
+    body["promoted"] = record.promoted.value();
+    body["promoted_term"] = record.promoted_term;
+    body["received_term"] = record.received.term;
+    body["received_number"] = record.received.number;
+  }
+  return boost::json::serialize(body);
+}
+
+Result<PrimaryChangeRecord> DecodePrimaryChange(const std::string& body) {
+  constexpr const char* kStep = "change.claim";
+  TRY(const boost::json::value value, ParseJson(body, kStep));
+  TRY(const JsonFields fields, JsonFields::Create(value, kStep));
+  PrimaryChangeRecord record;
+  TRY(const std::string claimant, fields.String("holder"));
+  record.claimant = VmName(claimant);
+  TRY(record.attempt, fields.String("attempt"));
+  TRY(record.ended, fields.Boolean("ended"));
+  TRY(record.unresolved, fields.BooleanOr("unresolved", false));
+  TRY(record.term, fields.NumberOr("term", 0));
+  TRY(const std::string candidate, fields.StringOr("candidate", ""));
+  record.candidate = InstanceName(candidate);
+  TRY(const std::string promoted, fields.StringOr("promoted", ""));
+  record.promoted = InstanceName(promoted);
+  TRY(record.promoted_term, fields.NumberOr("promoted_term", 0));
+  TRY(record.received.term, fields.NumberOr("received_term", 0));
+  TRY(record.received.number, fields.NumberOr("received_number", 0));
+  return record;
+}
+
+void KnownPrimaryChanges::Observe(const GroupName& group,
+                                  uint64_t revision,
+                                  const PrimaryChangeRecord& record,
+                                  TimePoint now) {
+  Known& known = m_known[group];
+  if (revision <= known.revision)
+    return;
+  known.revision = revision;
+  known.record = record;
+  known.first_seen = now;
+  if (!record.ended)
+    known.unresolved_until = now + kUnresolvedTime;
+  else if (!record.unresolved)
+    known.unresolved_until.reset();
+  else if (!known.unresolved_until)
+    known.unresolved_until = now + kUnresolvedTime;
+}
+
+const KnownPrimaryChanges::Known* KnownPrimaryChanges::Find(
+    const GroupName& group) const {
+  const auto found = m_known.find(group);
+  return found == m_known.end() ? nullptr : &found->second;
+}
+
+bool KnownPrimaryChanges::Claimed(const GroupName& group, TimePoint now) const {
+  const Known* known = Find(group);
+  return known && !known->record.ended && now < known->first_seen + kClaimTime;
+}
+
+bool KnownPrimaryChanges::Abandoned(const GroupName& group,
+                                    TimePoint now) const {
+  return Pending(group, now) && !Claimed(group, now);
+}
+
+const PrimaryChangeRecord* KnownPrimaryChanges::Pending(const GroupName& group,
+                                                        TimePoint now) const {
+  const Known* known = Find(group);
+  if (!known || !known->unresolved_until || now >= *known->unresolved_until)
+    return nullptr;
+  return &known->record;
+}
+
+const PrimaryChangeRecord* KnownPrimaryChanges::Last(
+    const GroupName& group) const {
+  const Known* known = Find(group);
+  return known ? &known->record : nullptr;
+}
+
+}  // namespace jackdawturn::gateway
--- a/libraries/record_feed/record_feed_codec.cc
+++ b/libraries/record_feed/record_feed_codec.cc
@@ -19,7 +19,7 @@
 
 constexpr RecordCollection kServedCollections[] = {
     RecordCollection::kConfiguration, RecordCollection::kServers,
-    RecordCollection::kPeers};
+    RecordCollection::kPeers, RecordCollection::kPrimaryChanges};
 
 Error Invalid(const std::string& what) {
   return Error{ErrorCode::kInvalidArgument, kStep, "", what};
--- /dev/null
+++ b/tests/support/replicated_faults.cc
@@ -0,0 +1,306 @@
+#include "support/replicated_faults.h"
+
+#include <cstdlib>
+#include <future>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <sstream>
+
+namespace jackdawturn::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+
+constexpr uint64_t kMutantRuns = 1'500;
+constexpr size_t kProxies = ReplicatedWorld::kProxies;
+
+const char* const kFaultNames[] = {"primary_cut_from_replicas",
+                                   "primary_alone_with_proxy",
+                                   "primary_cut_from_proxies",
+                                   "primary_cut_from_store",
+                                   "proxy_cut_from_store",
+                                   "primary_crashes",
+                                   "primary_leaves",
+                                   "replica_restarts",
+                                   "proxy_suspended",
+                                   "claimant_suspended",
+                                   "all_proxies_suspended",
+                                   "answers_lost",
+                                   "store_down",
+                                   "promotions_late",
+                                   "replica_flaps",
+                                   "primary_flaps",
+                                   "replica_receives_nothing",
+                                   "claimant_killed",
+                                   "proxy_killed",
+                                   "replica_restarts_during_change"};
+static_assert(std::size(kFaultNames) ==
+              static_cast<size_t>(WorldFault::kCount));
+
+std::string Name(const char* kind, size_t index) {
+  return kind + std::to_string(index);
+}
+
+// What a number of runs without mutants showed.
+struct Tally {
+  explicit Tally(size_t invariants) : broken(invariants) {}
+
+  void Add(const FaultRun& run,
+           uint64_t seed,
+           const std::vector<WorldInvariant>& invariants);
+  void Add(const Tally& other);
+
+  uint64_t reads = 0;
+  uint64_t writes = 0;
+  uint64_t promotions = 0;
+  // Runs with violations that KNOWN-RED.txt lists.
+  uint64_t known_red = 0;
+  // Runs that violated each invariant.
+  std::vector<uint64_t> broken;
+  // One line for each run with a violation.
+  std::string lines;
+};
+
+void Tally::Add(const FaultRun& run,
+                uint64_t seed,
+                const std::vector<WorldInvariant>& invariants) {
+  const Violations& found = run.world().violations();
+  reads += run.world().reads_done();
+  writes += run.world().writes_done();
+  promotions += run.world().promotions();
+  if (found.total() == 0)
+    return;
+  const bool known = found.total() == found.known_red();
+  std::ostringstream line;
+  line << (known ? "known red, passed over: " : "") << "seed=" << seed
+       << " stale=" << found.stale_reads << " lost=" << found.lost_commits
+       << " lost_by_restart=" << found.lost_by_restart
+       << " stale_by_restart=" << found.stale_by_restart
+       << " overtaken=" << found.overtaken_promotions
+       << " faults=" << run.description() << "\n";
+  lines += line.str();
+  known_red += found.known_red() > 0 ? 1 : 0;
+  for (size_t index = 0; index < broken.size(); ++index)
+    broken[index] += found.*invariants[index].violations > 0 ? 1 : 0;
+}
+
+void Tally::Add(const Tally& other) {
+  reads += other.reads;
+  writes += other.writes;
+  promotions += other.promotions;
+  known_red += other.known_red;
+  lines += other.lines;
+  for (size_t index = 0; index < broken.size(); ++index)
+    broken[index] += other.broken[index];
+}
+
+// Spreads the runs over threads; each run has a world of its own.
+Tally RunAll(const FaultTable& table,
+             const std::vector<WorldInvariant>& invariants,
+             uint64_t seed,
+             uint64_t runs) {
+  constexpr uint64_t kThreads = 4;
+  std::vector<std::future<Tally>> parts;
+  for (uint64_t thread = 0; thread < kThreads; ++thread)
+    parts.push_back(std::async(std::launch::async, [=, &table, &invariants] {
+      Tally part(invariants.size());
+      for (uint64_t run = thread; run < runs; run += kThreads)
+        part.Add(FaultRun(table, seed + run, WorldMutant::kNone), seed + run,
+                 invariants);
+      return part;
+    }));
+  Tally all(invariants.size());
+  for (auto& part : parts)
+    all.Add(part.get());
+  return all;
+}
+
+bool Caught(const FaultTable& table,
+            const WorldInvariant& invariant,
+            WorldMutant mutant,
+            uint64_t seed) {
+  for (uint64_t run = 0; run < kMutantRuns; ++run) {
+    const FaultRun mutated(table, seed + run, mutant);
+    if (mutated.world().violations().*invariant.violations > 0)
+      return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+FaultRun::FaultRun(const FaultTable& table, uint64_t seed, WorldMutant mutant)
+    : m_random(seed ^ 0x9e3779b97f4a7c15),
+      m_world({.seed = seed, .mutant = mutant, .fenced = table.fenced}) {
+  m_world.Run(Between(300, 700));
+  const WorldFault first = Draw(table);
+  const WorldFault second = Draw(table);
+  Apply(first);
+  m_world.Run(Between(0, 1'500));
+  if (m_random() % 3 > 0)
+    Apply(second);
+  for (uint64_t count = 2; count < table.max_faults; ++count) {
+    m_world.Run(Between(0, 1'500));
+    Apply(Draw(table));
+  }
+  m_world.Run(Between(500, 3'000));
+  m_world.Heal();
+  m_world.LoseAnswers(0);
+  m_world.DelayPromotions(0);
+  m_world.StoreDown(false);
+  m_world.Run(table.time_after);
+}
+
+Duration FaultRun::Between(int from, int to) {
+  return std::chrono::milliseconds(
+      std::uniform_int_distribution<int>(from, to)(m_random));
+}
+
+WorldFault FaultRun::Draw(const FaultTable& table) {
+  return static_cast<WorldFault>(m_random() % table.faults);
+}
+
+std::optional<size_t> FaultRun::AwaitClaimant() {
+  for (int step = 0; step < 200 && !m_world.Claimant(); ++step)
+    m_world.Run(10ms);
+  m_world.Run(Between(0, 600));
+  return m_world.Claimant();
+}
+
+void FaultRun::Flap(size_t instance) {
+  const int times = static_cast<int>(2 + m_random() % 4);
+  for (int time = 0; time < times; ++time) {
+    m_world.Crash(instance);
+    m_world.Run(Between(50, 500));
+    m_world.Restart(instance);
+    m_world.Run(Between(50, 500));
+  }
+}
+
+void FaultRun::Apply(WorldFault fault) {
+  m_description += std::string(" ") + kFaultNames[static_cast<size_t>(fault)];
+  const size_t primary = m_world.NewestPrimary() % ReplicatedWorld::kInstances;
+  const size_t replica = (primary + 1 + m_random() % 2) % 3;
+  const size_t proxy = m_random() % kProxies;
+  switch (fault) {
+    case WorldFault::kPrimaryCutFromReplicas:
+      m_world.Cut(Name("i", primary), Name("i", (primary + 1) % 3));
+      m_world.Cut(Name("i", primary), Name("i", (primary + 2) % 3));
+      break;
+    case WorldFault::kPrimaryAloneWithProxy:
+      m_world.Isolate(Name("i", primary), {Name("p", proxy)});
+      if (m_random() % 2 == 0)
+        m_world.Cut(Name("p", proxy), "store");
+      break;
+    case WorldFault::kPrimaryCutFromProxies:
+      for (size_t index = 0; index < kProxies; ++index) {
+        if (index != proxy)
+          m_world.Cut(Name("i", primary), Name("p", index));
+      }
+      break;
+    case WorldFault::kPrimaryCutFromStore:
+      m_world.Cut(Name("i", primary), "store");
+      break;
+    case WorldFault::kProxyCutFromStore:
+      m_world.Cut(Name("p", proxy), "store");
+      break;
+    case WorldFault::kPrimaryCrashes:
+      m_world.Crash(primary);
+      m_world.Run(Between(100, 1'500));
+      m_world.Restart(primary);
+      break;
+    case WorldFault::kPrimaryLeaves:
+      m_world.Leave(primary);
+      break;
+    case WorldFault::kReplicaRestarts:
+      m_world.Crash(replica);
+      m_world.Run(Between(1, 300));
+      m_world.Restart(replica);
+      break;
+    case WorldFault::kProxySuspended:
+      m_world.Suspend(proxy, Between(100, 6'000));
+      break;
+    case WorldFault::kClaimantSuspended:
+      m_world.Isolate(Name("i", primary), {Name("p", proxy)});
+      if (const auto claimant = AwaitClaimant())
+        m_world.Suspend(*claimant, Between(1'000, 6'000));
+      break;
+    case WorldFault::kAllProxiesSuspended:
+      for (size_t index = 0; index < kProxies; ++index)
+        m_world.Suspend(index, Between(100, 1'500));
+      break;
+    case WorldFault::kAnswersLost:
+      m_world.LoseAnswers(0.3);
+      break;
+    case WorldFault::kStoreDown:
+      m_world.StoreDown(true);
+      break;
+    case WorldFault::kPromotionsLate:
+      m_world.DelayPromotions(0.7);
+      break;
+    case WorldFault::kReplicaFlaps:
+      Flap(replica);
+      break;
+    case WorldFault::kPrimaryFlaps:
+      Flap(primary);
+      break;
+    case WorldFault::kReplicaReceivesNothing:
+      m_world.Cut(Name("i", primary), Name("i", replica));
+      break;
+    case WorldFault::kClaimantKilled:
+      m_world.Isolate(Name("i", primary), {Name("p", proxy)});
+      if (const auto claimant = AwaitClaimant())
+        m_world.Kill(*claimant);
+      break;
+    case WorldFault::kProxyKilled:
+      m_world.Kill(proxy);
+      break;
+    case WorldFault::kReplicaRestartsDuringChange:
+      for (size_t index = 0; index < kProxies; ++index) {
+        if (index != proxy)
+          m_world.Cut(Name("i", primary), Name("p", index));
+      }
+      if (AwaitClaimant()) {
+        m_world.Crash(replica);
+        m_world.Run(Between(1, 50));
+        m_world.Restart(replica);
+      }
+      break;
+    case WorldFault::kCount:
+      break;
+  }
+}
+
+int RunFaultTable(const FaultTable& table,
+                  const std::vector<WorldInvariant>& invariants,
+                  uint64_t default_runs) {
+  const char* runs_text = std::getenv("RUNS");
+  const uint64_t runs = runs_text ? std::stoull(runs_text) : default_runs;
+  const uint64_t seed = SeedFromEnvironment();
+  const Tally tally = RunAll(table, invariants, seed, runs);
+  std::cout << tally.lines << "reads=" << tally.reads
+            << " writes=" << tally.writes << " promotions=" << tally.promotions
+            << " known_red=" << tally.known_red << "\n";
+  std::vector<PromiseResult> results;
+  for (size_t index = 0; index < invariants.size(); ++index) {
+    const WorldInvariant& invariant = invariants[index];
+    PromiseResult result{
+        .name = invariant.name, .cases = runs, .broken = tally.broken[index]};
+    for (const WorldMutant mutant : invariant.mutants) {
+      if (runs_text)
+        continue;
+      ++result.mutants;
+      if (Caught(table, invariant, mutant, seed))
+        ++result.mutants_caught;
+      else
+        std::cout << "mutant " << static_cast<int>(mutant)
+                  << " was not caught by " << invariant.name << "\n";
+    }
+    results.push_back(result);
+  }
+  return PrintPromises(results);
+}
+
+}  // namespace jackdawturn::gateway
--- /dev/null
+++ b/tests/support/replicated_faults.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "support/replicated_world.h"
+#include "support/reports.h"
+
+namespace jackdawturn::gateway {
+
+enum class WorldFault {
+  kPrimaryCutFromReplicas,
+  kPrimaryAloneWithProxy,
+  kPrimaryCutFromProxies,
+  kPrimaryCutFromStore,
+  kProxyCutFromStore,
+  kPrimaryCrashes,
+  kPrimaryLeaves,
+  kReplicaRestarts,
+  kProxySuspended,
+  kClaimantSuspended,
+  kAllProxiesSuspended,
+  kAnswersLost,
+  kStoreDown,
+  kPromotionsLate,
+  kReplicaFlaps,
+  kPrimaryFlaps,
+  kReplicaReceivesNothing,
+  kClaimantKilled,
+  kProxyKilled,
+  kReplicaRestartsDuringChange,
+  kCount,
+};
+
+// Which faults are injected into a ReplicatedWorld, and how.
+struct FaultTable {
+  // The first `faults` of WorldFault are drawn from.
+  uint64_t faults = static_cast<uint64_t>(WorldFault::kCount);
+  // The greatest number of faults in one run, at least 2.
+  uint64_t max_faults = 2;
+  // How long the run goes on when all faults have ended.
+  Duration time_after = std::chrono::seconds(2);
+  bool fenced = false;
+};
+
+// One run of a ReplicatedWorld with faults at seeded times.
+// Thread safety: not thread-safe; different runs are independent.
+class FaultRun {
+ public:
+  FaultRun(const FaultTable& table, uint64_t seed, WorldMutant mutant);
+
+  const ReplicatedWorld& world() const { return m_world; }
+  // The names of the faults, in their order.
+  const std::string& description() const { return m_description; }
+
+ private:
+  Duration Between(int from, int to);
+  WorldFault Draw(const FaultTable& table);
+  void Apply(WorldFault fault);
+  void Flap(size_t instance);
+  // Waits until a proxy claims a change of the primary, for a limited time.
+  std::optional<size_t> AwaitClaimant();
+
+  std::mt19937_64 m_random;
+  ReplicatedWorld m_world;
+  std::string m_description;
+};
+
+// A promise that the runs check.
+struct WorldInvariant {
+  const char* name = "";
+  uint64_t Violations::*violations = nullptr;
+  // Each must be seen to violate the invariant.
+  std::vector<WorldMutant> mutants;
+};
+
+// Executes the runs and prints each one that violates an invariant, with its
+// seed, then a line for each invariant. Takes RUNS= and SEED= from the
+// environment; with RUNS= the mutants are left out. Returns the exit code.
+int RunFaultTable(const FaultTable& table,
+                  const std::vector<WorldInvariant>& invariants,
+                  uint64_t default_runs);
+
+}  // namespace jackdawturn::gateway
