--- a/libraries/gateway/primary_change.h
+++ b/libraries/gateway/primary_change.h
@@ -212,6 +212,7 @@
   uint64_t m_pause_term = 0;
   InstanceName m_candidate;
   unsigned m_promote_calls = 0;
+  unsigned m_release_calls = 0;
   // A promotion was requested and not answered, so it may still be carried out.
   bool m_promotion_unanswered = false;
   // The earlier claim that this one replaces, if a promotion under it may still
--- a/libraries/gateway/primary_change_claim.cc
+++ b/libraries/gateway/primary_change_claim.cc
@@ -10,6 +10,7 @@
 using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
 
 constexpr Duration kStoreTimeout = 800ms;
+constexpr Duration kReleaseRetryDelay = 200ms;
 
 }  // namespace
 
@@ -43,15 +44,15 @@
 
 void PrimaryChange::WriteClaim(uint64_t expected) {
   m_claimed_at = m_context.timers.now();
-  m_ports.store.Update(
-      RecordCollection::kPrimaryChanges, m_options.group.value(), expected,
-      EncodePrimaryChange({.claimant = m_options.claimant,
-                           .attempt = m_options.attempt,
-                           .term = NewestTerm(),
-                           .candidate = m_candidate}),
-      kStoreTimeout, [self = shared_from_this()](auto record) {
-        self->ClaimWritten(std::move(record));
-      });
+  m_ports.store.Update(RecordCollection::kPrimaryChanges,
+                       m_options.group.value(), expected,
+                       EncodePrimaryChange({.claimant = m_options.claimant,
+                                            .attempt = m_options.attempt,
+                                            .term = NewestTerm(),
+                                            .candidate = m_candidate}),
+                       kStoreTimeout, [self = shared_from_this()](auto record) {
+                         self->ClaimWritten(std::move(record));
+                       });
 }
 
 void PrimaryChange::ClaimWritten(Result<StoredRecord> record) {
@@ -109,12 +110,15 @@
 }
 
 void PrimaryChange::Release() {
+  // The record must say what came of the change, because commits wait for it.
+  constexpr unsigned kMaxReleaseCalls = 10;
   const bool promoted = !m_promoted.empty();
   const PrimaryChangeRecord ended{
       .claimant = m_options.claimant,
       .attempt = m_options.attempt,
       .ended = true,
       .unresolved = !promoted && (m_superseded || m_promotion_unanswered),
+      .unanswered = !promoted && m_promotion_unanswered,
       .term = NewestTerm(),
       .promoted = m_promoted,
       .promoted_term = m_promoted_term,
@@ -124,11 +128,16 @@
       EncodePrimaryChange(ended), kStoreTimeout,
       [self = shared_from_this(), ended](auto record) {
         if (record)
-          self->m_context.changes.Observe(
-              self->m_options.group, record.value().revision, ended,
-              self->m_context.timers.now());
-        else
-          self->Log("release_failed", {{"error", record.error().message}});
+          return self->m_context.changes.Observe(self->m_options.group,
+                                                 record.value().revision, ended,
+                                                 self->m_context.timers.now());
+        self->Log("release_failed", {{"error", record.error().message}});
+        // A conflict: an earlier call was carried out, or there is a new claim.
+        if (record.error().code == ErrorCode::kConflict ||
+            ++self->m_release_calls >= kMaxReleaseCalls)
+          return;
+        self->m_context.timers.After(kReleaseRetryDelay,
+                                     [self] { self->Release(); });
       });
 }
 
--- a/libraries/gateway/primary_change_record.cc
+++ b/libraries/gateway/primary_change_record.cc
@@ -11,6 +11,7 @@
                            {"attempt", record.attempt},
                            {"ended", record.ended},
                            {"unresolved", record.unresolved},
+                           {"unanswered", record.unanswered},
                            {"term", record.term}};
   if (!record.candidate.empty())
     body["candidate"] = record.candidate.value();
@@ -33,6 +34,7 @@
   TRY(record.attempt, fields.String("attempt"));
   TRY(record.ended, fields.Boolean("ended"));
   TRY(record.unresolved, fields.BooleanOr("unresolved", false));
+  TRY(record.unanswered, fields.BooleanOr("unanswered", record.unresolved));
   TRY(record.term, fields.NumberOr("term", 0));
   TRY(const std::string candidate, fields.StringOr("candidate", ""));
   record.candidate = InstanceName(candidate);
@@ -54,12 +56,15 @@
   known.revision = revision;
   known.record = record;
   known.first_seen = now;
-  if (!record.ended)
+  if (!record.ended) {
+    known.earlier_unresolved_until = known.unresolved_until;
     known.unresolved_until = now + kUnresolvedTime;
-  else if (!record.unresolved)
+  } else if (!record.unresolved) {
     known.unresolved_until.reset();
-  else if (!known.unresolved_until)
-    known.unresolved_until = now + kUnresolvedTime;
+  } else if (!record.unanswered) {
+    // The claim has requested nothing, so it must not prolong the time.
+    known.unresolved_until = known.earlier_unresolved_until;
+  }
 }
 
 const KnownPrimaryChanges::Known* KnownPrimaryChanges::Find(
--- a/libraries/gateway/primary_change_record.h
+++ b/libraries/gateway/primary_change_record.h
@@ -20,6 +20,8 @@
   // A promotion that was requested under this claim or an earlier one may still
   // be carried out.
   bool unresolved = false;
+  // Of these, one that was requested under this claim.
+  bool unanswered = false;
   // The newest term of the group's instances before the change.
   uint64_t term = 0;
   // In a switchover, the replica that is to be promoted.
@@ -76,6 +78,8 @@
     TimePoint first_seen;
     // Until when a promotion may be carried out; empty when none may be.
     std::optional<TimePoint> unresolved_until;
+    // As unresolved_until, for promotions of earlier claims.
+    std::optional<TimePoint> earlier_unresolved_until;
   };
 
   const Known* Find(const GroupName& group) const;
--- a/tests/gateway/primary_change_test.cc
+++ b/tests/gateway/primary_change_test.cc
@@ -461,4 +461,76 @@
   cr_expect_eq(rig.group.At("a").role, ReplicationRole::kReplica);
 }
 
+// Another proxy's claim that was abandoned, while the old primary serves on.
+static PrimaryChangeRecord AbandonedClaim() {
+  return {.claimant = VmName("gone"), .attempt = "gone", .term = 1};
+}
+
+// A promotion that was requested under an abandoned claim can be carried out
+// seconds later, so the change that replaces it must use its newer token, or
+// say that nothing is resolved (LOST in users' day runs).
+struct TakeoverCase {
+  const char* pattern;
+  bool replica_silent;
+  // The abandoned promotion has taken effect.
+  bool promoted;
+  size_t promotions;
+  bool unresolved;
+};
+
+static const TakeoverCase kTakeovers[] = {
+    {"the promotion may still be carried out", false, false, 1, false},
+    {"a replica does not answer after the claim", true, false, 0, true},
+    {"the promotion was carried out", false, true, 0, false},
+};
+
+TABLE_TEST(gateway_primary_change, claimant_that_is_gone, kTakeovers) {
+  const TakeoverCase& row = kTakeovers[*row_index];
+  ChangeRig rig;
+  rig.store.Update(RecordCollection::kPrimaryChanges, "loans", 0,
+                   EncodePrimaryChange(AbandonedClaim()), 1s, [](auto) {});
+  rig.timers.Advance(10ms);
+  rig.context.changes.Observe(GroupName("loans"), 1, AbandonedClaim(),
+                              rig.timers.now());
+  rig.timers.Advance(KnownPrimaryChanges::kClaimTime);
+  cr_assert(
+      rig.context.changes.Abandoned(GroupName("loans"), rig.timers.now()));
+  rig.context.positions[GroupName("loans")].Observe(rig.timers.now(), {1, 9});
+  if (row.promoted)
+    rig.group.At("p").term = 2;
+  rig.store.before_update = [&] {
+    if (row.replica_silent)
+      rig.group.At("b").silent = true;
+  };
+  const auto change = rig.Begin(Kind::kPlanned, "one", "abandoned_change");
+  change->Start();
+  rig.timers.Advance(3s);
+  cr_assert_eq(rig.results.size(), 1U, "%s", row.pattern);
+  cr_assert_eq(rig.group.promotions.size(), row.promotions, "%s", row.pattern);
+  const auto record = DecodePrimaryChange(
+      rig.store.Find(RecordCollection::kPrimaryChanges, "loans")->body);
+  cr_assert(record.value().ended, "%s", row.pattern);
+  cr_assert_eq(record.value().unresolved, row.unresolved, "%s", row.pattern);
+}
+
+// A claim that replaces an unresolved one and requests nothing must not keep
+// commits waiting for longer than the first one.
+Test(gateway_primary_change, failed_claims_do_not_prolong_an_unresolved_one) {
+  KnownPrimaryChanges changes;
+  const GroupName group("loans");
+  const TimePoint start{1h};
+  PrimaryChangeRecord record = AbandonedClaim();
+  changes.Observe(group, 1, record, start);
+  for (uint64_t attempt = 1; attempt < 40; ++attempt) {
+    const TimePoint now = start + attempt * 400ms;
+    record.ended = false;
+    changes.Observe(group, 2 * attempt, record, now);
+    record.ended = true;
+    record.unresolved = true;
+    changes.Observe(group, 2 * attempt + 1, record, now + 100ms);
+  }
+  cr_assert_null(
+      changes.Pending(group, start + KnownPrimaryChanges::kUnresolvedTime));
+}
+
 }  // namespace jackdawturn::gateway
