Tests: Show acknowledged commits that a change of primary still loses

commit_confirmation_test: four tests of the same rule at the class, for the successor, for a primary of a term above the claim's, for a record that an older version ended, and for an unresolved change after an expired claim.

--- a/tests/gateway/commit_confirmation_test.cc
+++ b/tests/gateway/commit_confirmation_test.cc
@@ -124,6 +124,71 @@
   cr_assert_eq(rig.replies.front().code, ReplyCode::kDone);
 }
 
+// The promotion of an earlier claim, for another replica, may still be carried
+// out until the platform has seen the newer token, so what the successor has
+// received is not safe yet.
+Test(gateway_commit_confirmation, earlier_promotion_outdoes_the_successor) {
+  ConfirmationRig rig;
+  rig.Hear(kClaim);
+  rig.timers.Advance(KnownPrimaryChanges::kClaimTime + 1s);
+  PrimaryChangeRecord planned = kClaim;
+  planned.attempt = "2";
+  planned.candidate = InstanceName("a");
+  rig.Hear(planned);
+  rig.Write();
+  rig.group.At("a").received.number = 11;
+  rig.timers.Advance(20ms);
+  cr_assert(rig.replies.empty());
+}
+
+// A promotion of an abandoned claim that is carried out after the next claim
+// was written makes a primary of a term above the claim's; the change that is
+// in progress replaces that primary as well.
+Test(gateway_commit_confirmation, primary_newer_than_the_claim_is_replaced) {
+  ConfirmationRig rig;
+  rig.Hear(kClaim);
+  rig.timers.Advance(KnownPrimaryChanges::kClaimTime + 1s);
+  PrimaryChangeRecord next = kClaim;
+  next.attempt = "2";
+  rig.Hear(next);
+  rig.group.At("p").term = 2;
+  rig.group.At("p").received = {2, 10};
+  rig.Write();
+  cr_assert(rig.replies.empty());
+}
+
+// An older version's record of a change does not name the new primary.
+Test(gateway_commit_confirmation, end_of_an_older_version_shows_nothing) {
+  ConfirmationRig rig;
+  rig.Hear(DecodePrimaryChange(
+               R"({"holder":"other","attempt":"1","ended":false})")
+               .value());
+  rig.Write();
+  cr_assert(rig.replies.empty());
+  rig.Hear(
+      DecodePrimaryChange(R"({"holder":"other","attempt":"1","ended":true})")
+          .value());
+  rig.timers.Advance(50ms);
+  cr_assert_eq(rig.replies.size(), 1U);
+  cr_assert_eq(rig.replies.front().code, ReplyCode::kUnknown);
+}
+
+// An unresolved change counts although an earlier claim has expired unended.
+Test(gateway_commit_confirmation, expired_claim_hides_no_unresolved_change) {
+  KnownPrimaryChanges changes;
+  const TimePoint start{1h};
+  changes.Observe(kGroup, 7, kClaim, start);
+  const TimePoint later = start + KnownPrimaryChanges::kUnresolvedTime + 1s;
+  changes.Observe(kGroup, 9,
+                  {.claimant = VmName("other"),
+                   .attempt = "2",
+                   .ended = true,
+                   .unresolved = true,
+                   .term = 1},
+                  later);
+  cr_assert_not_null(changes.Pending(kGroup, later));
+}
+
 // Without a change, an acknowledgement is passed on at once.
 Test(gateway_commit_confirmation, no_change_delays_nothing) {
   ConfirmationRig rig;
--- a/tests/support/replicated_faults.cc
+++ b/tests/support/replicated_faults.cc
@@ -35,7 +35,9 @@
                                    "replica_receives_nothing",
                                    "claimant_killed",
                                    "proxy_killed",
-                                   "replica_restarts_during_change"};
+                                   "replica_restarts_during_change",
+                                   "promotions_stay_late",
+                                   "replica_restarts_while_answers_lost"};
 static_assert(std::size(kFaultNames) ==
               static_cast<size_t>(WorldFault::kCount));
 
@@ -159,7 +161,8 @@
 }
 
 WorldFault FaultRun::Draw(const FaultTable& table) {
-  return static_cast<WorldFault>(m_random() % table.faults);
+  return static_cast<WorldFault>(
+      table.first_fault + m_random() % (table.faults - table.first_fault));
 }
 
 std::optional<size_t> FaultRun::AwaitClaimant() {
@@ -257,6 +260,18 @@
     case WorldFault::kProxyKilled:
       m_world.Kill(proxy);
       break;
+    case WorldFault::kPromotionsStayLate:
+      // The primary returns while the first promotion is on its way; the claim
+      // is replaced once it has been abandoned.
+      m_world.DelayPromotions(1);
+      m_world.Crash(primary);
+      AwaitClaimant();
+      m_world.Restart(primary);
+      m_world.Run(Between(4'000, 9'000));
+      break;
+    case WorldFault::kReplicaRestartsWhileAnswersLost:
+      m_world.LoseAnswers(0.3);
+      [[fallthrough]];
     case WorldFault::kReplicaRestartsDuringChange:
       for (size_t index = 0; index < kProxies; ++index) {
         if (index != proxy)
--- a/tests/support/replicated_faults.h
+++ b/tests/support/replicated_faults.h
@@ -31,13 +31,17 @@
   kClaimantKilled,
   kProxyKilled,
   kReplicaRestartsDuringChange,
+  // Drawn only where a table asks for them.
+  kPromotionsStayLate,
+  kReplicaRestartsWhileAnswersLost,
   kCount,
 };
 
 // Which faults are injected into a ReplicatedWorld, and how.
 struct FaultTable {
-  // The first `faults` of WorldFault are drawn from.
-  uint64_t faults = static_cast<uint64_t>(WorldFault::kCount);
+  // Those of WorldFault from `first_fault` on and before `faults` are drawn from.
+  uint64_t first_fault = 0;
+  uint64_t faults = static_cast<uint64_t>(WorldFault::kPromotionsStayLate);
   // The greatest number of faults in one run, at least 2.
   uint64_t max_faults = 2;
   // How long the run goes on when all faults have ended.
--- a/tests/support/replicated_world_parts.h
+++ b/tests/support/replicated_world_parts.h
@@ -214,6 +214,17 @@
     }
     const bool over = m_world.m_timers.now() >= end;
     if (reachable() ? over || !changes.changes.empty() : over) {
+      // A connection on which an answer is lost returns nothing further.
+      if (!over && m_world.m_lost_share > 0 &&
+          m_world.Chance(m_world.m_lost_share)) {
+        m_world.m_timers.After(
+            end - m_world.m_timers.now(), [this, on_changes] {
+              m_timers.RunWhenAwake([on_changes] {
+                on_changes(Error{ErrorCode::kTimeout, "world", "", ""});
+              });
+            });
+        return;
+      }
       const auto result = reachable()
                               ? Result<RecordChanges>(changes)
                               : Error{ErrorCode::kTimeout, "world", "", ""};
