Platform: Answer every line that was read before a connection ends

Cause: a session that was to end ended with its first answer in state I, although more lines of the same batch had been read, in the session's queue or in the stream's buffer. A proxy that relays sends SET, BEGIN and a statement at once and took the rest for lost. A line that could not be read ended the connection at once and took the answer of the statement in progress with it.

Change: a session is idle only when nothing that was read is unanswered. The error for a line that cannot be read follows the answers before it.

--- a/libraries/gateway/client_session.cc
+++ b/libraries/gateway/client_session.cc
@@ -31,10 +31,6 @@
   Start(statement);
 }
 
-bool ClientSession::idle() const {
-  return !m_busy && !m_transaction;
-}
-
 const Route* ClientSession::FindRoute() const {
   return m_context.config ? m_context.config->FindRoute(m_database) : nullptr;
 }
--- a/libraries/gateway/client_session.h
+++ b/libraries/gateway/client_session.h
@@ -52,8 +52,11 @@
   // sent, and an open transaction is rolled back.
   void Disconnect();
 
-  // Returns whether no statement is in progress and no transaction is open.
-  bool idle() const;
+  // Returns whether every statement was answered.
+  bool answered() const { return !m_busy && m_pending.empty(); }
+
+  // Returns whether every statement was answered and no transaction is open.
+  bool idle() const { return answered() && !m_transaction; }
 
  private:
   ClientSession(GatewayContext& context,
--- a/tests/platform/client_listener_test.cc
+++ b/tests/platform/client_listener_test.cc
@@ -30,16 +30,20 @@
   void List(RecordCollection collection,
             Duration,
             std::function<void(Result<RecordList>)> on_list) override {
-    if (collection == RecordCollection::kConfiguration)
+    if (configured && collection == RecordCollection::kConfiguration)
       on_list(RecordList{{{"main", 1, "1"}}, 1});
   }
+
+  // Whether lists are answered.
+  bool configured = true;
 };
 
 // A gateway that listens on loopback, and one client.
 struct ListenerRig {
-  explicit ListenerRig(ClientSession::Origin origin)
+  explicit ListenerRig(ClientSession::Origin origin, bool configured = true)
       : listener(ClientListener::Create(context, {"127.0.0.1", 0}, origin, host)
                      .value()) {
+    store.configured = configured;
     host.Start();
     const auto address = ToTcpEndpoint(listener->endpoint()).value();
     client.open(address.protocol());
@@ -157,6 +161,64 @@
   cr_expect_eq(rig.listener->unsent(), 0U);
 }
 
+static size_t CountOf(const std::string& text, const std::string& word) {
+  size_t count = 0;
+  for (size_t at = text.find(word); at != std::string::npos;
+       at = text.find(word, at + 1))
+    ++count;
+  return count;
+}
+
+// A proxy sends the lines that belong to one statement at once. A session that
+// is to end must answer all lines that were read, or the other end takes those
+// that never ran for lost.
+struct BatchCase {
+  ClientSession::Origin origin;
+  const char* startup;
+  const char* batch;
+  size_t answers;
+};
+
+static const BatchCase kBatches[] = {
+    {ClientSession::Origin::kClient, "STARTUP db\r\n",
+     "QUERY 1 SET a b\r\nQUERY 2 SET c d\r\n", 2},
+    {ClientSession::Origin::kPeer, "STARTUP db vm vm/1/db\r\n",
+     "QUERY - SET a b\r\nQUERY - SET c d\r\nQUERY 3 READ 1\r\n", 3},
+    {ClientSession::Origin::kPeer, "STARTUP db vm vm/1/db\r\n",
+     "QUERY - SET a b\r\nQUERY - BEGIN\r\nQUERY 3 WRITE 1 x\r\n"
+     "QUERY - ROLLBACK\r\n",
+     4},
+};
+
+TABLE_TEST(platform_listener, closing_session_answers_its_batch, kBatches) {
+  const BatchCase& row = kBatches[*row_index];
+  ListenerRig rig(row.origin);
+  rig.listener->CloseIdleSessions();
+  rig.Send(std::string(row.startup) + row.batch);
+  // No instance is there, so statements are refused when their time is over.
+  rig.timers.Advance(2s);
+  rig.listener->CloseIdleSessions();
+  const std::string received = rig.ReadToEnd();
+  cr_expect_eq(CountOf(received, "READY"), row.answers + 1, "%s",
+               received.c_str());
+}
+
+// A line that cannot be read ends the connection, but the statements before it
+// are answered first.
+Test(platform_listener, refusal_follows_the_answers_before_it) {
+  ListenerRig rig(ClientSession::Origin::kClient);
+  rig.Send(
+      "STARTUP db\r\nQUERY 1 READ 1\r\nQUERY 2 SET a b\r\nGARBAGE\r\n"
+      "QUERY 3 SET c d\r\n");
+  rig.timers.Advance(2s);
+  const std::string received = rig.ReadToEnd();
+  cr_expect_eq(CountOf(received, "READY"), 3U, "%s", received.c_str());
+  const size_t refusal = received.find("ERROR MALFORMED");
+  cr_assert_neq(refusal, std::string::npos);
+  cr_expect_gt(refusal, received.rfind("READY"));
+  cr_expect_eq(rig.listener->sessions(), 0U);
+}
+
 // Whatever arrives on a connection, only that connection ends.
 struct GarbageCase {
   ClientSession::Origin origin;
