Gateway: Answer every statement truthfully when the process stops

Cause: a process that stopped cut the statements that were in progress at the end of its drain, kept open transactions to the end, and began work that it could not end. A holder told a relaying proxy nothing on which that proxy could try another one.

Change: DrainSchedule holds the phases of a drain. From the half of the grace period on, the next statement of a transaction is answered as aborted and not sent, BEGIN is refused, and so are statements whose limit ends too late; after such an answer the session runs nothing more, as the rest of a batch must not run outside of its transaction. AnswerAll answers what is in progress: as not run only if it was not sent. A relaying proxy takes the refusal (draining) to another holder. Every such answer has a line answered_by_drain with the request id.

--- a/libraries/gateway/client_session.cc
+++ b/libraries/gateway/client_session.cc
@@ -12,6 +12,8 @@
 
 using Kind = ClientStatement::Kind;
 
+constexpr const char* kStops = "the proxy stops";
+
 }  // namespace
 
 std::shared_ptr<ClientSession> ClientSession::Create(GatewayContext& context,
@@ -31,6 +33,26 @@
   Start(statement);
 }
 
+void ClientSession::EndTransaction() {
+  if (!m_transaction || m_busy || m_transaction->failed)
+    return;
+  CloseTransaction();
+  m_transaction->failed = true;
+}
+
+void ClientSession::AnswerAll() {
+  const auto self = shared_from_this();
+  if (!m_refusal) {
+    m_refusal.emplace();
+    m_refusal->code = m_transaction ? ReplyCode::kAborted : ReplyCode::kBusy;
+    m_refusal->message = m_transaction ? kStops : kDraining;
+  }
+  // Its answer is followed by those of the statements that wait.
+  if (const auto execution = m_execution)
+    execution->Interrupt();
+  RollBack();
+}
+
 const Route* ClientSession::FindRoute() const {
   return m_context.config ? m_context.config->FindRoute(m_database) : nullptr;
 }
@@ -51,8 +73,15 @@
   // A relayed statement carries the last commit of its own client.
   if (m_origin == Origin::kPeer && !m_transaction)
     m_own_commit = statement.after;
+  if (m_refusal)
+    return RefuseStatement(statement);
   if (m_transaction)
     m_context.timers.Cancel(m_transaction->idle_timer);
+  if (m_transaction && statement.kind != Kind::kRollback &&
+      m_context.DrainReached(DrainPhase::kEndingTransactions)) {
+    RollBack();
+    return RefuseFromNowOn(statement, ReplyCode::kAborted, kStops);
+  }
   if (m_transaction && m_transaction->failed)
     return StartInFailedTransaction(statement);
   switch (statement.kind) {
@@ -101,6 +130,8 @@
 void ClientSession::Begin(const ClientStatement& statement) {
   if (m_transaction)
     return Fail(ReplyCode::kMalformed, "a transaction is already open");
+  if (m_context.DrainReached(DrainPhase::kEndingTransactions))
+    return RefuseFromNowOn(statement, ReplyCode::kBusy, kDraining);
   const Route* route = FindRoute();
   m_transaction.emplace();
   if (!route) {
@@ -146,6 +177,11 @@
     const Route* route = FindRoute();
     if (!route)
       return Fail(ReplyCode::kNoDatabase, "no such database");
+    // Nearly all statements end long before their limit, which may be longer
+    // than the grace period, so it counts late in a drain only.
+    if (m_context.DrainReached(DrainPhase::kEndingTransactions) &&
+        !m_context.HasTimeFor(route->statement_timeout))
+      return RefuseFromNowOn(statement, ReplyCode::kBusy, kDraining);
     input.route = *route;
   }
   if (statement.kind == Kind::kExecute) {
@@ -193,7 +229,11 @@
   } else if (done && wrote) {
     RecordOwnCommit(outcome.reply);
   }
-  if (!done) {
+  if (m_refusal) {
+    // The process stops, and its client is told with this answer.
+    RollBack();
+    LogAnswerOfDrain(statement.id, outcome.reply);
+  } else if (!done) {
     m_context.log.LogRequestEvent(
         statement.id, GroupName(), "failed", "",
         {{"code", std::string(ToString(outcome.reply.code))},
@@ -278,6 +318,30 @@
   Reply(std::move(reply));
 }
 
+void ClientSession::RefuseFromNowOn(const ClientStatement& statement,
+                                    ReplyCode code,
+                                    std::string message) {
+  m_refusal.emplace();
+  m_refusal->code = code;
+  m_refusal->message = std::move(message);
+  RefuseStatement(statement);
+}
+
+void ClientSession::RefuseStatement(const ClientStatement& statement) {
+  LogAnswerOfDrain(statement.id, *m_refusal);
+  Reply(*m_refusal);
+}
+
+void ClientSession::LogAnswerOfDrain(const RequestId& id,
+                                     const ClientReply& reply) {
+  const Route* route = FindRoute();
+  m_context.log.LogRequestEvent(id, route ? route->group : GroupName(),
+                                "answered_by_drain", "",
+                                {{"code", std::string(ToString(reply.code))},
+                                 {"message", reply.message},
+                                 {"database", m_database}});
+}
+
 void ClientSession::Reply(ClientReply reply) {
   reply.state = state();
   m_busy = false;
--- a/libraries/gateway/client_session.h
+++ b/libraries/gateway/client_session.h
@@ -52,6 +52,14 @@
   // sent, and an open transaction is rolled back.
   void Disconnect();
 
+  // Rolls back a transaction in which no statement is in progress; its next
+  // statement is answered as aborted.
+  void EndTransaction();
+
+  // Answers all statements now, because the process stops, and begins no
+  // further one.
+  void AnswerAll();
+
   // Returns whether every statement was answered.
   bool answered() const { return !m_busy && m_pending.empty(); }
 
@@ -92,6 +100,13 @@
   void Reply(ClientReply reply);
   void ReplyDone();
   void Fail(ReplyCode code, std::string message);
+  // Refuses this statement and all later ones because the process stops. Those
+  // that follow a refused BEGIN in a batch must not run outside of it.
+  void RefuseFromNowOn(const ClientStatement& statement,
+                       ReplyCode code,
+                       std::string message);
+  void RefuseStatement(const ClientStatement& statement);
+  void LogAnswerOfDrain(const RequestId& id, const ClientReply& reply);
   TransactionState state() const;
 
   GatewayContext& m_context;
@@ -105,6 +120,8 @@
   TimePoint m_started;
   // Statements received while another one was in progress.
   std::deque<ClientStatement> m_pending;
+  // The answer to every further statement; set when the process stops.
+  std::optional<ClientReply> m_refusal;
   bool m_busy = false;
 };
 
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/backend_session.h"              // IWYU pragma: export
 #include "gateway/client_session.h"               // IWYU pragma: export
 #include "gateway/commit_confirmation.h"            // IWYU pragma: export
+#include "gateway/drain_schedule.h"               // IWYU pragma: export
 #include "gateway/gateway_context.h"              // IWYU pragma: export
 #include "gateway/gateway_host.h"                 // IWYU pragma: export
 #include "gateway/gateway_log.h"                  // IWYU pragma: export
--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "gateway/backend_pool.h"
+#include "gateway/drain_schedule.h"
 #include "gateway/gateway_log.h"
 #include "gateway/other_zone_reachability.h"
 #include "gateway/peer_directory.h"
@@ -65,6 +66,17 @@
   // such a loss may have occurred at any time, unobserved by this proxy.
   std::map<GroupName, TimePoint> last_member_loss;
   TimePoint started = timers.now();
+  // Set when this process was told to stop.
+  std::optional<DrainSchedule> drain;
+
+  // Returns whether a statement that takes up to `longest` may still start.
+  bool HasTimeFor(Duration longest) const {
+    return !drain || drain->HasTimeFor(timers.now(), longest);
+  }
+  // Returns whether the drain has reached the phase.
+  bool DrainReached(DrainPhase phase) const {
+    return drain && drain->PhaseAt(timers.now()) >= phase;
+  }
 
   // Returns whether a replaced primary may continue to lead, so that its reads
   // need a lease.
--- a/libraries/gateway/local_statement_execution.cc
+++ b/libraries/gateway/local_statement_execution.cc
@@ -88,6 +88,18 @@
   m_on_done = nullptr;
 }
 
+void LocalStatementExecution::Interrupt() {
+  if (!m_on_done)
+    return;
+  // A late reply is then ignored.
+  ++m_batch;
+  if (m_connection)
+    m_context.pool.Discard(std::move(m_connection));
+  if (m_sent)
+    return FinishUnanswered("the proxy stops");
+  Refuse(kDraining);
+}
+
 void LocalStatementExecution::StartAttempt() {
   if (!m_on_done)
     return;
@@ -259,6 +271,7 @@
   if (!m_input.in_transaction() && !m_implicit_transaction && !m_input.writes())
     commands.back().after = m_required;
   const size_t index = commands.size() - 1;
+  m_sent = true;
   if (m_implicit_transaction)
     commands.push_back({.kind = CommandKind::kRollback});
   Send(std::move(commands),
@@ -418,6 +431,9 @@
 bool LocalStatementExecution::RetryIfNotRun(const BackendReply& reply) {
   if (!GuaranteesNotRun(reply.code))
     return false;
+  // A repeatable statement may have run before, at an instance that did not
+  // answer.
+  m_sent = m_sent && m_input.repeatable();
   Log("retry", {{"code", std::string(ToString(reply.code))},
                 {"message", reply.message}});
   switch (reply.code) {
--- a/libraries/gateway/local_statement_execution.h
+++ b/libraries/gateway/local_statement_execution.h
@@ -23,6 +23,7 @@
   Create(GatewayContext& context, Input input, OnDone on_done);
   void Start() override;
   void Abandon() override;
+  void Interrupt() override;
 
  private:
   // Covers the resolution of PositionHistory and the time from the client's
@@ -114,6 +115,8 @@
   std::map<uint64_t, BackendPool::ConnectionPtr> m_timed_out_connections;
   Timers::TimerId m_response_timer = 0;
   unsigned m_attempts = 0;
+  // The statement itself was sent and may have run.
+  bool m_sent = false;
   bool m_finished = false;
 };
 
--- a/libraries/gateway/relayed_statement_execution.cc
+++ b/libraries/gateway/relayed_statement_execution.cc
@@ -60,6 +60,21 @@
     m_local_execution->Abandon();
 }
 
+void RelayedStatementExecution::Interrupt() {
+  if (m_local_execution)
+    return m_local_execution->Interrupt();
+  if (!m_on_done)
+    return;
+  // A late answer is then ignored.
+  ++m_batch;
+  m_context.timers.Cancel(m_answer_timer);
+  // There is a connection only while the statement is at the holder.
+  if (!m_connection)
+    return Finish(ErrorReply(ReplyCode::kBusy, kDraining));
+  m_context.peer_pool.Discard(std::move(m_connection));
+  Finish(ErrorReply(m_input.UnansweredCode(), "the proxy stops"));
+}
+
 void RelayedStatementExecution::StartAttempt() {
   if (!m_on_done)
     return;
@@ -203,12 +218,12 @@
 }
 
 void RelayedStatementExecution::StatementReplied(const BackendReply& reply) {
-  // The holder has an older configuration or cannot reach the instances.
+  // The holder has an older configuration, cannot reach the instances or stops.
   const bool other_may_serve =
       reply.code == ReplyCode::kNoDatabase ||
       (reply.code == ReplyCode::kBusy &&
        (reply.message == kZoneIsolated || reply.message == kNoInstance ||
-        reply.message == kNoLease));
+        reply.message == kNoLease || reply.message == kDraining));
   if (reply.message == kZoneIsolated && m_context.peers.SameZone(m_holder))
     m_context.isolation.Suspect(m_context.timers.now());
   const bool isolated = m_context.isolation.isolated_since().has_value();
--- a/libraries/gateway/relayed_statement_execution.h
+++ b/libraries/gateway/relayed_statement_execution.h
@@ -21,6 +21,7 @@
   Create(GatewayContext& context, Input input, OnDone on_done);
   void Start() override;
   void Abandon() override;
+  void Interrupt() override;
 
  private:
   RelayedStatementExecution(GatewayContext& context,
--- a/libraries/gateway/statement_execution.h
+++ b/libraries/gateway/statement_execution.h
@@ -66,6 +66,9 @@
   // Ends the execution after the client has disconnected: the outcome is not
   // reported, and an open transaction is rolled back.
   virtual void Abandon() = 0;
+  // Ends the execution with an answer now, because the process stops: as not
+  // run if the statement was not sent, else as unanswered.
+  virtual void Interrupt() = 0;
 
  protected:
   // A statement not sent within this share of its timeout is refused.
@@ -86,5 +89,7 @@
 inline constexpr const char* kNoInstance = "no_instance_in_time";
 // The primary cannot be shown to be the current one.
 inline constexpr const char* kNoLease = "no_lease_in_time";
+// This proxy stops.
+inline constexpr const char* kDraining = "draining";
 
 }  // namespace jackdawturn::gateway
--- a/tests/gateway/relay_test.cc
+++ b/tests/gateway/relay_test.cc
@@ -290,6 +290,45 @@
   cr_assert_eq(rig.replies.back().code, row.code, "%s", row.pattern);
 }
 
+// A holder that is about to stop refuses new work, which then runs elsewhere.
+TABLE_TEST(gateway_relay,
+           work_refused_by_a_draining_holder_is_served,
+           kRelayed) {
+  const RelayedCase& row = kRelayed[*row_index];
+  RelayRig rig;
+  rig.holder.context.drain.emplace(rig.holder.timers.now() - 7s, 10s, 2s);
+  const auto session = rig.Open("own");
+  if (row.in_transaction)
+    session->Handle(StatementOf(Kind::kBegin, "BEGIN"));
+  session->Handle(StatementOf(row.kind, row.text));
+  if (row.in_transaction)
+    session->Handle(StatementOf(Kind::kCommit, "COMMIT"));
+  rig.holder.timers.Advance(300ms);
+  cr_expect(rig.bypassed());
+  for (const ClientReply& reply : rig.replies)
+    cr_expect_eq(reply.code, ReplyCode::kDone);
+}
+
+// The entry proxy is told to stop while the holder works on a statement.
+TABLE_TEST(gateway_relay, stopping_entry_proxy_answers_truthfully, kLost) {
+  const LostCase& row = kLost[*row_index];
+  RelayRig rig;
+  const auto session = rig.Open("own");
+  if (row.in_transaction)
+    session->Handle(StatementOf(Kind::kBegin, "BEGIN"));
+  session->Handle(StatementOf(row.kind, row.text));
+  const size_t before = rig.replies.size();
+  // The connection to the holder is open, and the statement was sent.
+  rig.holder.timers.Advance(kHopLatency + 500us);
+  session->AnswerAll();
+  cr_assert_eq(rig.replies.size(), before + 1, "%s", row.pattern);
+  const bool is_read = row.kind == Kind::kRead && !row.in_transaction;
+  cr_expect_eq(rig.replies.back().code,
+               is_read ? ReplyCode::kAborted : row.code, "%s", row.pattern);
+  rig.holder.timers.Advance(2s);
+  cr_expect_eq(rig.replies.size(), before + 1);
+}
+
 // A COMMIT after a write may have taken effect when its answer is lost.
 Test(gateway_relay, lost_commit_is_unknown) {
   RelayRig rig;
