--- a/tests/platform/client_listener_test.cc
+++ b/tests/platform/client_listener_test.cc
@@ -219,6 +219,29 @@
   cr_expect_eq(rig.listener->sessions(), 0U);
 }
 
+// A process that stops before it knows a configuration refuses the clients that
+// wait for it.
+Test(platform_listener, waiting_startup_is_refused_by_a_drain) {
+  ListenerRig rig(ClientSession::Origin::kClient, false);
+  rig.Send("STARTUP db\r\n");
+  cr_expect_eq(rig.listener->sessions(), 1U);
+  rig.listener->Drain(DrainPhase::kClosing);
+  const std::string received = rig.ReadToEnd();
+  cr_expect(received.starts_with("ERROR BUSY"), "%s", received.c_str());
+  cr_expect_eq(rig.listener->sessions(), 0U);
+}
+
+// A process that ends with statements in progress answers all that were read.
+Test(platform_listener, statements_in_progress_are_answered_at_the_end) {
+  ListenerRig rig(ClientSession::Origin::kClient);
+  rig.Send("STARTUP db\r\nQUERY 1 READ 1\r\nQUERY 2 WRITE 1 x\r\n");
+  rig.listener->Drain(DrainPhase::kAnswering);
+  const std::string received = rig.ReadToEnd();
+  cr_expect_eq(CountOf(received, "ERROR BUSY"), 2U, "%s", received.c_str());
+  cr_expect_eq(CountOf(received, "READY"), 3U);
+  cr_expect_eq(rig.listener->sessions(), 0U);
+}
+
 // Whatever arrives on a connection, only that connection ends.
 struct GarbageCase {
   ClientSession::Origin origin;
