Commands: Let the gateway stop by the phases of its drain

Cause: the gateway closed sessions between two operations and stopped at 0.85 of its grace period, whatever was in progress.

Change: it hands the phase to both listeners every 50 ms and stops when nothing is left, or at 0.85 as before.

Not measured: no process was stopped under load.

--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -93,21 +93,20 @@
              StoreReachabilityChanged("peers", lost);
            }},
           {.wait = kPeerWatchWait, .coalesce_delay = kPeerCoalesceDelay}),
-      m_changes_sync(
-          m_watches,
-          m_ports.timers,
-          m_store_retries,
-          RecordCollection::kPrimaryChanges,
-          m_options.seed + 6,
-          {[this](const RecordList& list) { ChangesListed(list); },
-           [this](const RecordChange& change) {
-             if (!change.removed)
-               ChangeRecorded(change.record);
-           },
-           [this](const Error* lost) {
-             StoreReachabilityChanged("primary_changes", lost);
-           }},
-          {.wait = kChangeWatchWait}),
+      m_changes_sync(m_watches,
+                     m_ports.timers,
+                     m_store_retries,
+                     RecordCollection::kPrimaryChanges,
+                     m_options.seed + 6,
+                     {[this](const RecordList& list) { ChangesListed(list); },
+                      [this](const RecordChange& change) {
+                        if (!change.removed)
+                          ChangeRecorded(change.record);
+                      },
+                      [this](const Error* lost) {
+                        StoreReachabilityChanged("primary_changes", lost);
+                      }},
+                     {.wait = kChangeWatchWait}),
       m_registration(m_ports.store,
                      m_ports.timers,
                      log,
@@ -141,12 +140,12 @@
 }
 
 bool GatewayHost::ready() const {
-  return m_context.config && m_servers_listed && !m_draining &&
+  return m_context.config && m_servers_listed && !m_context.drain &&
          !m_context.isolation.isolated_since();
 }
 
-void GatewayHost::Drain() {
-  m_draining = true;
+void GatewayHost::Drain(const DrainSchedule& schedule) {
+  m_context.drain.emplace(schedule);
   m_registration.Leave();
   m_log.LogStateChange(EventKind::kProcess, GroupName(), "drain", "", {});
 }
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -68,8 +68,8 @@
   // zone is not partitioned from the others, and no drain has begun.
   bool ready() const;
   // Reports not ready from now on, and marks this proxy as leaving in its peer
-  // record.
-  void Drain();
+  // record. Sessions then keep to the schedule.
+  void Drain(const DrainSchedule& schedule);
 
   // Runs `action` when the first configuration is in force: immediately if it
   // already is.
@@ -183,7 +183,6 @@
   bool m_servers_listed = false;
   // The isolation of this proxy's zone as last logged.
   bool m_isolation_logged = false;
-  bool m_draining = false;
 };
 
 }  // namespace jackdawturn::gateway
--- a/programs/jackdawturn/gateway_command.cc
+++ b/programs/jackdawturn/gateway_command.cc
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -28,8 +29,6 @@
 constexpr Duration kBalancerTime = 2'300ms;
 constexpr Duration kSessionCheck = 50ms;
 constexpr Duration kIsolationCheck = 200ms;
-// The share of the time until the process is killed within which it ends.
-constexpr double kGraceShare = 0.85;
 
 // A gateway process: its ports, its decisions and the way it ends.
 class GatewayProcess {
@@ -120,7 +119,7 @@
   // the balancer sends them once it has taken this proxy out.
   void WatchIsolation() {
     m_timers.After(kIsolationCheck, [this] { WatchIsolation(); });
-    if (m_draining)
+    if (m_drain)
       return;
     const auto since = m_host.context().isolation.isolated_since();
     if (since && *since + kBalancerTime <= m_timers.now())
@@ -148,21 +147,23 @@
   }
 
   void Drain() {
-    m_draining = true;
-    m_host.Drain();
-    m_drain_ends = m_timers.now() + std::chrono::duration_cast<Duration>(
-                                        m_settings.grace * kGraceShare);
-    m_timers.After(std::min(kBalancerTime, m_settings.grace / 3),
-                   [this] { CloseSessions(); });
+    m_drain.emplace(m_timers.now(), m_settings.grace, kBalancerTime);
+    m_host.Drain(*m_drain);
+    CloseSessions();
   }
 
   void CloseSessions() {
-    m_listener->CloseIdleSessions();
-    m_relay_listener->CloseIdleSessions();
+    const DrainPhase phase = m_drain->PhaseAt(m_timers.now());
+    // Clients of this process may wait for statements that it relays, so it
+    // serves both kinds of sessions by the same schedule.
+    m_listener->Drain(phase);
+    m_relay_listener->Drain(phase);
     const size_t sessions =
         m_listener->sessions() + m_relay_listener->sessions();
     const size_t unsent = m_listener->unsent() + m_relay_listener->unsent();
-    if (sessions + unsent == 0 || m_timers.now() >= m_drain_ends) {
+    const bool all_ended =
+        phase >= DrainPhase::kClosing && sessions + unsent == 0;
+    if (all_ended || phase == DrainPhase::kEnded) {
       m_log.LogStateChange(EventKind::kProcess, GroupName(), "drained", "",
                            {{"sessions", std::to_string(sessions)},
                             {"unsent", std::to_string(unsent)}});
@@ -185,8 +186,7 @@
   std::unique_ptr<platform::ClientListener> m_relay_listener;
   std::unique_ptr<HttpServer> m_readiness;
   std::unique_ptr<HttpServer> m_metrics_server;
-  TimePoint m_drain_ends;
-  bool m_draining = false;
+  std::optional<DrainSchedule> m_drain;
 };
 
 Result<int> RunGateway(const std::string& path) {
