--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -140,12 +140,12 @@
 }
 
 bool GatewayHost::ready() const {
-  return m_context.config && m_servers_listed && !m_draining &&
+  return m_context.config && m_servers_listed && !m_context.drain &&
          !m_context.isolation.isolated_since();
 }
 
-void GatewayHost::Drain() {
-  m_draining = true;
+void GatewayHost::Drain(const DrainSchedule& schedule) {
+  m_context.drain.emplace(schedule);
   m_registration.Leave();
   m_log.LogStateChange(EventKind::kProcess, GroupName(), "drain", "", {});
 }
