Gateway: Log each acknowledged write and commit

A commit that was acknowledged and later lacked could not be told from one that never was: a successful statement had no line. The proxy that talked to the instance now writes step=acknowledged with the position, the database and the time waited, when it passes the success on; not for a client that has left.

Without the change, acknowledged_commit_has_a_line fails for the write and the commit, and drops_routine_events_first keeps `cccl` and `cclf` instead of `ccl` and `lfff`.

--- a/libraries/gateway/local_statement_execution.cc
+++ b/libraries/gateway/local_statement_execution.cc
@@ -402,14 +402,14 @@
 
 void LocalStatementExecution::FinishCommit(ClientReply answer) {
   if (!m_context.confirm_commit || !answer.position)
-    return Finish(std::move(answer));
+    return Acknowledge(answer);
   const CommitPosition position = *answer.position;
   m_context.confirm_commit(
       m_input.route.group, position, m_deadline,
       [self = shared_from_this(), position,
        answer = std::move(answer)](bool survives) {
         if (survives)
-          return self->Finish(answer);
+          return self->Acknowledge(answer);
         self->Log("unconfirmed", {{"position", ToString(position)}});
         self->FinishUnanswered("the primary was being replaced");
       });
--- a/libraries/gateway/local_statement_execution.h
+++ b/libraries/gateway/local_statement_execution.h
@@ -82,6 +82,8 @@
   // Passes the answer to a write or commit on once it is certain not to be lost
   // with the primary.
   void FinishCommit(ClientReply answer);
+  // Passes the success of a write or commit on, and logs that.
+  void Acknowledge(const ClientReply& answer);
   // Returns the connection to the pool, after a rollback if a transaction is
   // open.
   void ReleaseConnection();
--- a/libraries/gateway/local_statement_positions.cc
+++ b/libraries/gateway/local_statement_positions.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "gateway/local_statement_execution.h"
 
@@ -36,6 +37,23 @@
   applied = applied ? std::max(*applied, *reply.position) : *reply.position;
 }
 
+void LocalStatementExecution::Acknowledge(const ClientReply& answer) {
+  // Nothing is passed on to a client that has left.
+  if (m_on_done) {
+    // Only what is needed to find the commit, because each one has this line.
+    GatewayLog::Fields fields = {
+        {"database", m_input.route.database},
+        {"waited_us",
+         std::to_string((m_context.timers.now() - m_received).count())}};
+    if (answer.position)
+      fields["position"] = ToString(*answer.position);
+    m_context.log.LogRequestEvent(m_input.statement.id, m_input.route.group,
+                                  std::string(kAcknowledgedStep),
+                                  m_target.value(), std::move(fields));
+  }
+  Finish(answer);
+}
+
 void LocalStatementExecution::ObservePrimary(CommitPosition position) {
   const GroupName& group = m_input.route.group;
   TimePoint covered = m_sent_at;
--- a/libraries/observe/event_log_queue.cc
+++ b/libraries/observe/event_log_queue.cc
@@ -5,7 +5,8 @@
 namespace jackdawturn {
 
 LogImportance ImportanceOf(const TimelineEvent& event) {
-  if (event.kind == EventKind::kRequest && event.step == kAcceptedStep)
+  if (event.kind == EventKind::kRequest &&
+      (event.step == kAcceptedStep || event.step == kAcknowledgedStep))
     return LogImportance::kRoutine;
   if (event.kind == EventKind::kAnswer &&
       event.field(kOutcomeField) == kDoneOutcome)
--- a/libraries/observe/timeline_event.h
+++ b/libraries/observe/timeline_event.h
@@ -45,9 +45,11 @@
 inline constexpr std::string_view kPromoteStep = "promote";
 inline constexpr std::string_view kPublishStep = "publish";
 
-// The step of the kind kRequest of a request that was taken on; other steps of
-// this kind tell of trouble.
+// The steps of the kind kRequest of a request that was taken on, and of a write
+// or commit whose success was passed on; other steps of this kind tell of
+// trouble.
 inline constexpr std::string_view kAcceptedStep = "accepted";
+inline constexpr std::string_view kAcknowledgedStep = "acknowledged";
 
 // An answer that a primary gave has the kind kAnswer, the fields kTermField and
 // kInstanceField, and these values of kRoleField and kOutcomeField.
--- a/tests/gateway/fake_group.h
+++ b/tests/gateway/fake_group.h
@@ -335,7 +335,9 @@
 
 // One proxy in front of a FakeGroup with a primary "p" and replicas "a", "b".
 struct GatewayRig {
-  GatewayRig() {
+  // `event_log` may be null: events are then only counted.
+  explicit GatewayRig(EventLog* event_log = nullptr)
+      : log(event_log, metrics, VmName("vm")) {
     group.Add("p", ReplicationRole::kPrimary, 10);
     group.Add("a", ReplicationRole::kReplica, 10);
     group.Add("b", ReplicationRole::kReplica, 9);
@@ -391,7 +393,7 @@
   FakeGroup group{timers};
   FakeStore store{timers};
   MetricRegistry metrics;
-  GatewayLog log{nullptr, metrics, VmName("vm")};
+  GatewayLog log;
   ServerDirectory directory;
   BackendPool pool{timers, group.Opener(), {}};
   BackendPool peer_pool{timers, group.Opener(), {}};
--- a/tests/observe/event_log_test.cc
+++ b/tests/observe/event_log_test.cc
@@ -24,9 +24,11 @@
     event.kind = EventKind::kFailover;
     event.fields.clear();
   }
-  if (letter == 'a' || letter == 'l') {
+  if (letter == 'a' || letter == 'c' || letter == 'l') {
     event.kind = EventKind::kRequest;
-    event.step = letter == 'a' ? std::string(kAcceptedStep) : "relay_lost";
+    event.step = letter == 'a'   ? std::string(kAcceptedStep)
+                 : letter == 'c' ? std::string(kAcknowledgedStep)
+                                 : "relay_lost";
     event.fields.clear();
   }
   return event;
@@ -60,8 +62,9 @@
 }  // namespace
 
 struct QueueCase {
-  // a: a request that was taken on, r: one that succeeded, f: one that failed,
-  // l: one whose relay was lost, s: a step of a failover.
+  // a: a request that was taken on, c: one whose commit was passed on, r: one
+  // that succeeded, f: one that failed, l: one whose relay was lost, s: a step
+  // of a failover.
   const char* pushed;
   const char* kept;
   uint64_t dropped_routine;
@@ -75,9 +78,11 @@
     // Routine events fill half of the places.
     {"rrrr", "rr", 2, 0},
     {"aral", "arl", 1, 0},
+    {"cccl", "ccl", 1, 0},
     // Failures take the other half, and then the places of routine events.
     {"rrffff", "ffff", 2, 0},
     {"rrfffs", "fffs", 2, 0},
+    {"cclfff", "lfff", 2, 0},
     {"fffr", "fffr", 0, 0},
     {"ffffr", "ffff", 1, 0},
     // Only failures are left to drop; the oldest ones tell how it began.
