Gateway: Log each request that the end of a connection leaves unanswered

The end of a connection had no line, so a request that was read and not answered could not be told from one that never arrived. ClientSession now writes step=unanswered for the statement in progress and each one that waits behind it, with the reason of the end and whether the statement had been passed to an instance or holder, and counts jackdawturn_statements_unanswered_total by reason.

Without the lines (the call in Disconnect taken out), three rows of unanswered_request_has_a_line fail, and the rows of unanswered_request_is_counted that were built then for a client that closes, a reset, TERMINATE and a malformed line; the row process_end does not pass through Disconnect and was not seen failing. The row of a client that closes first failed with the change too: the client had left an answer unread, which resets the connection. The test now ends the client's sending side; the reset has a row of its own.

--- a/libraries/gateway/client_session.cc
+++ b/libraries/gateway/client_session.cc
@@ -14,6 +14,22 @@
 
 }  // namespace
 
+std::string_view ToString(SessionEnd end) {
+  switch (end) {
+    case SessionEnd::kClientLeft:
+      return "client_left";
+    case SessionEnd::kConnectionError:
+      return "connection_error";
+    case SessionEnd::kMalformed:
+      return "malformed";
+    case SessionEnd::kDrain:
+      return "drain";
+    case SessionEnd::kProcessEnd:
+      return "process_end";
+  }
+  return "unknown";
+}
+
 std::shared_ptr<ClientSession> ClientSession::Create(GatewayContext& context,
                                                      std::string database,
                                                      Origin origin,
@@ -181,6 +197,7 @@
   else
     m_execution = LocalStatementExecution::Create(m_context, std::move(input),
                                                   std::move(on_done));
+  m_running = statement.id;
   const auto execution = m_execution;
   execution->Start();
 }
@@ -248,8 +265,30 @@
                                 {{"database", m_database}});
 }
 
-void ClientSession::Disconnect() {
+void ClientSession::LogUnanswered(SessionEnd why) {
+  if (m_execution)
+    LogUnanswered(m_running, why, m_execution->sent());
+  for (const ClientStatement& pending : m_pending)
+    LogUnanswered(pending.id, why, false);
+}
+
+void ClientSession::LogUnanswered(const RequestId& request,
+                                  SessionEnd why,
+                                  bool sent) const {
+  const std::string reason(ToString(why));
+  GatewayLog::Fields fields = {
+      {"database", m_database}, {"why", reason}, {"sent", sent ? "yes" : "no"}};
+  // The relaying proxy has a line of its own for the client.
+  if (m_origin == Origin::kPeer)
+    fields["from"] = "proxy";
+  m_context.log.LogRequestEvent(request, GroupName(), "unanswered", "",
+                                std::move(fields));
+  m_context.log.CountUnanswered(reason);
+}
+
+void ClientSession::Disconnect(SessionEnd why) {
   m_on_reply = nullptr;
+  LogUnanswered(why);
   m_pending.clear();
   if (m_execution)
     m_execution->Abandon();
--- a/libraries/gateway/client_session.h
+++ b/libraries/gateway/client_session.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "gateway/gateway_context.h"
 #include "gateway/statement_execution.h"
@@ -24,6 +25,21 @@
   Timers::TimerId idle_timer = 0;
 };
 
+// Why a session ends.
+enum class SessionEnd {
+  kClientLeft,
+  kConnectionError,
+  // What the client sent is not understood.
+  kMalformed,
+  // This proxy closes its sessions, or is cut off with its zone.
+  kDrain,
+  // The process ends although statements are in progress.
+  kProcessEnd,
+};
+
+// Returns the name used in logs, for example "client_left". Thread-safe.
+std::string_view ToString(SessionEnd end);
+
 // One client's session: its session values, prepared statements and
 // transaction. Statements run sequentially. Thread safety: not thread-safe.
 class ClientSession : public std::enable_shared_from_this<ClientSession> {
@@ -48,9 +64,14 @@
   // passed to `on_reply` in the order of the statements.
   void Handle(ClientStatement statement);
 
-  // Ends the session after the client has disconnected: no further reply is
-  // sent, and an open transaction is rolled back.
-  void Disconnect();
+  // Ends the session after its connection has ended: no further reply is sent,
+  // and an open transaction is rolled back. Statements without an answer are
+  // logged.
+  void Disconnect(SessionEnd why = SessionEnd::kClientLeft);
+
+  // Logs and counts each statement that was received and not answered, because
+  // the session ends.
+  void LogUnanswered(SessionEnd why);
 
   // Returns whether no statement is in progress and no transaction is open.
   bool idle() const;
@@ -71,6 +92,7 @@
   // connections to the group.
   bool ShouldRelay(const Route& route) const;
   void RecordOwnCommit(const ClientReply& reply);
+  void LogUnanswered(const RequestId& request, SessionEnd why, bool sent) const;
   void Start(const ClientStatement& statement);
   void StartInFailedTransaction(const ClientStatement& statement);
   void Begin(const ClientStatement& statement);
@@ -99,6 +121,8 @@
   std::optional<CommitPosition> m_own_commit;
   std::optional<ClientTransaction> m_transaction;
   std::shared_ptr<StatementExecution> m_execution;
+  // The statement that m_execution runs.
+  RequestId m_running;
   TimePoint m_started;
   // Statements received while another one was in progress.
   std::deque<ClientStatement> m_pending;
--- a/libraries/gateway/gateway_log.cc
+++ b/libraries/gateway/gateway_log.cc
@@ -54,6 +54,14 @@
   series.latency->Record(latency);
 }
 
+void GatewayLog::CountUnanswered(const std::string& reason) {
+  m_metrics
+      .FindCounter("jackdawturn_statements_unanswered_total",
+                   "Statements whose session ended before their answer.",
+                   {{"reason", reason}})
+      .Add();
+}
+
 void GatewayLog::Write(TimelineEvent event) {
   m_metrics
       .FindCounter(
--- a/libraries/gateway/gateway_log.h
+++ b/libraries/gateway/gateway_log.h
@@ -36,6 +36,9 @@
   // records its latency.
   // Precondition: `latency` is not negative.
   void RecordStatement(ReplyCode code, Duration latency);
+  // Counts a statement whose session ended before its answer, by the reason of
+  // the end.
+  void CountUnanswered(const std::string& reason);
 
  private:
   // The metric series of one outcome, cached to avoid a look-up for each
--- a/libraries/gateway/local_statement_execution.cc
+++ b/libraries/gateway/local_statement_execution.cc
@@ -259,6 +259,7 @@
   if (!m_input.in_transaction() && !m_implicit_transaction && !m_input.writes())
     commands.back().after = m_required;
   const size_t index = commands.size() - 1;
+  MarkSent();
   if (m_implicit_transaction)
     commands.push_back({.kind = CommandKind::kRollback});
   Send(std::move(commands),
--- a/libraries/gateway/relayed_statement_execution.cc
+++ b/libraries/gateway/relayed_statement_execution.cc
@@ -60,6 +60,11 @@
     m_local_execution->Abandon();
 }
 
+bool RelayedStatementExecution::sent() const {
+  return StatementExecution::sent() ||
+         (m_local_execution && m_local_execution->sent());
+}
+
 void RelayedStatementExecution::StartAttempt() {
   if (!m_on_done)
     return;
@@ -122,6 +127,7 @@
 }
 
 void RelayedStatementExecution::Send() {
+  MarkSent();
   const uint64_t batch = ++m_batch;
   m_sent_at = m_context.timers.now();
   m_answer_timer =
--- a/libraries/gateway/relayed_statement_execution.h
+++ b/libraries/gateway/relayed_statement_execution.h
@@ -21,6 +21,7 @@
   Create(GatewayContext& context, Input input, OnDone on_done);
   void Start() override;
   void Abandon() override;
+  bool sent() const override;
 
  private:
   RelayedStatementExecution(GatewayContext& context,
--- a/libraries/gateway/statement_execution.h
+++ b/libraries/gateway/statement_execution.h
@@ -66,8 +66,12 @@
   // Ends the execution after the client has disconnected: the outcome is not
   // reported, and an open transaction is rolled back.
   virtual void Abandon() = 0;
+  // Returns whether the statement was passed to an instance or holder at least
+  // once.
+  virtual bool sent() const { return m_sent; }
 
  protected:
+  void MarkSent() { m_sent = true; }
   // A statement not sent within this share of its timeout is refused.
   static constexpr double kWaitShare = 0.6;
 
@@ -78,6 +82,9 @@
   // apply the session state before it.
   static BackendCommand StatementCommand(const Input& input);
   static Duration Share(Duration whole, double share);
+
+ private:
+  bool m_sent = false;
 };
 
 // Refusal reasons after which another proxy may be able to serve the statement:
--- a/tests/gateway/request_trace_test.cc
+++ b/tests/gateway/request_trace_test.cc
@@ -65,4 +65,54 @@
   cr_expect(Contains(lines, row.in_transaction ? "COMMIT" : "WRITE 2 y"));
 }
 
+// Without a line for each request that a connection's end leaves unanswered,
+// such a request cannot be told from one that never arrived.
+struct UnansweredCase {
+  const char* pattern;
+  SessionEnd why;
+  // From the statements to the end of the session.
+  Duration after;
+  size_t lines;
+  // In the line of the first statement.
+  const char* first;
+};
+
+static const UnansweredCase kUnanswered[] = {
+    {"before it was sent", SessionEnd::kClientLeft, 0ms, 2,
+     " database=strict sent=no why=client_left"},
+    {"after it was sent", SessionEnd::kConnectionError, 1500us, 2,
+     " database=strict sent=yes why=connection_error"},
+    {"in a drain", SessionEnd::kDrain, 1500us, 2,
+     " database=strict sent=yes why=drain"},
+    {"after the answers", SessionEnd::kClientLeft, 50ms, 0, ""},
+};
+
+TABLE_TEST(gateway_request_trace, unanswered_request_has_a_line, kUnanswered) {
+  const UnansweredCase& row = kUnanswered[*row_index];
+  RecordedLog recorded;
+  GatewayRig rig(recorded.log());
+  const auto session = rig.Open("strict");
+  session->Handle(StatementOf(Kind::kWrite, "W1"));
+  session->Handle(StatementOf(Kind::kWrite, "W2"));
+  rig.timers.Advance(row.after);
+  session->Disconnect(row.why);
+  rig.timers.Advance(50ms);
+  const std::string lines = recorded.Lines("unanswered");
+  cr_assert_eq(CountLines(lines), static_cast<long>(row.lines), "%s: %s",
+               row.pattern, lines.c_str());
+  const std::string counted =
+      "jackdawturn_statements_unanswered_total{reason=\"" +
+      std::string(ToString(row.why)) + "\"} " + std::to_string(row.lines);
+  cr_expect_eq(Contains(rig.metrics.Render(), counted), row.lines > 0);
+  if (row.lines == 0)
+    return;
+  const std::string first = lines.substr(0, lines.find('\n'));
+  const std::string second = lines.substr(first.size() + 1);
+  cr_expect(Contains(first, "request=id-W1 ") && Contains(first, row.first),
+            "%s", lines.c_str());
+  // It waited for the first one, which had not been answered.
+  cr_expect(Contains(second, "request=id-W2 ") && Contains(second, " sent=no "),
+            "%s", lines.c_str());
+}
+
 }  // namespace jackdawturn::gateway
--- a/tests/platform/client_listener_test.cc
+++ b/tests/platform/client_listener_test.cc
@@ -189,4 +189,58 @@
   cr_expect(next.is_open());
 }
 
+// Whatever ends a connection, a request that was read and not answered is
+// counted with the reason.
+struct EndCase {
+  enum class Cause { kClientCloses, kConnectionResets, kProcessEnds, kText };
+  Cause cause;
+  // kText: what the client sends.
+  const char* text;
+  const char* reason;
+};
+
+static const EndCase kEnds[] = {
+    {EndCase::Cause::kClientCloses, "", "client_left"},
+    {EndCase::Cause::kConnectionResets, "", "connection_error"},
+    {EndCase::Cause::kProcessEnds, "", "process_end"},
+    {EndCase::Cause::kText, "TERMINATE\r\n", "client_left"},
+    {EndCase::Cause::kText, "HELLO\r\n", "malformed"},
+};
+
+TABLE_TEST(platform_listener, unanswered_request_is_counted, kEnds) {
+  const EndCase& row = kEnds[*row_index];
+  ListenerRig rig(ClientSession::Origin::kClient);
+  // No instance is known, so the write waits.
+  rig.Send("STARTUP db\r\nQUERY 1 WRITE 1 x\r\n");
+  cr_assert_eq(rig.listener->sessions(), 1U);
+  switch (row.cause) {
+    case EndCase::Cause::kConnectionResets:
+      rig.client.set_option(asio::socket_base::linger(true, 0));
+      rig.client.close();
+      break;
+    case EndCase::Cause::kClientCloses:
+      // A close with an answer that was not read resets the connection.
+      rig.client.shutdown(Tcp::socket::shutdown_send);
+      break;
+    case EndCase::Cause::kProcessEnds:
+      rig.listener.reset();
+      break;
+    case EndCase::Cause::kText:
+      rig.Send(row.text);
+      break;
+  }
+  constexpr int kMaxPolls = 1'000;
+  for (int polls = 0;
+       polls < kMaxPolls && rig.listener && rig.listener->sessions() > 0;
+       ++polls) {
+    rig.Poll();
+    std::this_thread::sleep_for(1ms);
+  }
+  const std::string counted =
+      "jackdawturn_statements_unanswered_total{reason=\"" +
+      std::string(row.reason) + "\"} 1";
+  cr_assert(rig.metrics.Render().find(counted) != std::string::npos, "%s",
+            counted.c_str());
+}
+
 }  // namespace jackdawturn::gateway::platform
