Gateway: Report acknowledged commits that a later primary lacks

Only the proxy that promoted an instance logged what it had received, and nobody compared that with what clients had been told. Each proxy now remembers the highest position that it passed on for each group and term. It compares them with the records of changes and with positions of later primaries, logs step=acknowledged_commit_missing and counts jackdawturn_commits_missing_total. A position that is not the new primary's own commit proves it only with a strictly lower number.

--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -3,10 +3,11 @@
 // Public header of the library gateway: serves clients that speak a statement
 // protocol, with session consistency over a group's primary and replicas.
 
+#include "gateway/acknowledged_positions.h"       // IWYU pragma: export
 #include "gateway/backend_pool.h"                 // IWYU pragma: export
 #include "gateway/backend_session.h"              // IWYU pragma: export
 #include "gateway/client_session.h"               // IWYU pragma: export
-#include "gateway/commit_confirmation.h"            // IWYU pragma: export
+#include "gateway/commit_confirmation.h"          // IWYU pragma: export
 #include "gateway/gateway_context.h"              // IWYU pragma: export
 #include "gateway/gateway_host.h"                 // IWYU pragma: export
 #include "gateway/gateway_log.h"                  // IWYU pragma: export
--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "gateway/acknowledged_positions.h"
 #include "gateway/backend_pool.h"
 #include "gateway/gateway_log.h"
 #include "gateway/other_zone_reachability.h"
@@ -45,6 +46,7 @@
   std::map<GroupName, PositionHistory> positions;
   std::map<InstanceName, ReplicaProgress> progress;
   KnownPrimaryChanges changes;
+  AcknowledgedPositions acknowledged;
   PrimaryFailureDetector failure_detector;
   ReplicaLagMonitor lag_monitor;
   OtherZoneReachability zone_reachability;
--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -93,21 +93,20 @@
              StoreReachabilityChanged("peers", lost);
            }},
           {.wait = kPeerWatchWait, .coalesce_delay = kPeerCoalesceDelay}),
-      m_changes_sync(
-          m_watches,
-          m_ports.timers,
-          m_store_retries,
-          RecordCollection::kPrimaryChanges,
-          m_options.seed + 6,
-          {[this](const RecordList& list) { ChangesListed(list); },
-           [this](const RecordChange& change) {
-             if (!change.removed)
-               ChangeRecorded(change.record);
-           },
-           [this](const Error* lost) {
-             StoreReachabilityChanged("primary_changes", lost);
-           }},
-          {.wait = kChangeWatchWait}),
+      m_changes_sync(m_watches,
+                     m_ports.timers,
+                     m_store_retries,
+                     RecordCollection::kPrimaryChanges,
+                     m_options.seed + 6,
+                     {[this](const RecordList& list) { ChangesListed(list); },
+                      [this](const RecordChange& change) {
+                        if (!change.removed)
+                          ChangeRecorded(change.record);
+                      },
+                      [this](const Error* lost) {
+                        StoreReachabilityChanged("primary_changes", lost);
+                      }},
+                     {.wait = kChangeWatchWait}),
       m_registration(m_ports.store,
                      m_ports.timers,
                      log,
@@ -306,9 +305,14 @@
 
 void GatewayHost::ChangeRecorded(const StoredRecord& record) {
   const auto change = DecodePrimaryChange(record.body);
-  if (change)
-    return m_context.changes.Observe(GroupName(record.name), record.revision,
-                                     change.value(), m_ports.timers.now());
+  if (change) {
+    const GroupName group(record.name);
+    m_context.changes.Observe(group, record.revision, change.value(),
+                              m_ports.timers.now());
+    return LogMissingCommits(
+        m_log, group, change.value().promoted,
+        m_context.acknowledged.ChangeRecorded(group, change.value()));
+  }
   m_log.LogStateChange(EventKind::kFailover, GroupName(record.name),
                        "bad_claim", "", {{"error", change.error().message}});
 }
--- a/libraries/gateway/gateway_log.cc
+++ b/libraries/gateway/gateway_log.cc
@@ -62,6 +62,15 @@
       .Add();
 }
 
+void GatewayLog::CountMissingCommit(bool proven) {
+  m_metrics
+      .FindCounter("jackdawturn_commits_missing_total",
+                   "Reports of an acknowledged commit that a later primary "
+                   "lacks or may lack.",
+                   {{"proven", proven ? "yes" : "no"}})
+      .Add();
+}
+
 void GatewayLog::Write(TimelineEvent event) {
   m_metrics
       .FindCounter(
--- a/libraries/gateway/gateway_log.h
+++ b/libraries/gateway/gateway_log.h
@@ -39,6 +39,9 @@
   // Counts a statement whose session ended before its answer, by the reason of
   // the end.
   void CountUnanswered(const std::string& reason);
+  // Counts an acknowledged commit that a later primary lacks or, if that is not
+  // `proven`, may lack.
+  void CountMissingCommit(bool proven);
 
  private:
   // The metric series of one outcome, cached to avoid a look-up for each
--- a/libraries/gateway/local_statement_positions.cc
+++ b/libraries/gateway/local_statement_positions.cc
@@ -27,8 +27,12 @@
   const bool confirmed_primary = m_input.writes() || m_implicit_transaction ||
                                  m_input.transaction == Transaction::kReadWrite;
   if (target_is_primary()) {
-    if (confirmed_primary && !m_input.is_commit())
+    if (confirmed_primary && !m_input.is_commit()) {
       ObservePrimary(*reply.position);
+      LogMissingCommits(m_context.log, m_input.route.group, m_target,
+                        m_context.acknowledged.SeenAtPrimary(
+                            m_input.route.group, *reply.position));
+    }
     return;
   }
   m_context.lag_monitor.Served(m_target);
@@ -45,8 +49,12 @@
         {"database", m_input.route.database},
         {"waited_us",
          std::to_string((m_context.timers.now() - m_received).count())}};
-    if (answer.position)
+    if (answer.position) {
       fields["position"] = ToString(*answer.position);
+      LogMissingCommits(m_context.log, m_input.route.group, m_target,
+                        m_context.acknowledged.PassedOn(m_input.route.group,
+                                                        *answer.position));
+    }
     m_context.log.LogRequestEvent(m_input.statement.id, m_input.route.group,
                                   std::string(kAcknowledgedStep),
                                   m_target.value(), std::move(fields));
--- a/tests/gateway/request_trace_test.cc
+++ b/tests/gateway/request_trace_test.cc
@@ -115,4 +115,56 @@
             "%s", lines.c_str());
 }
 
+// The proxy that passed a commit on must tell when a later primary shows that
+// it has put another one in its place.
+struct SuccessorCase {
+  const char* pattern;
+  // What the new primary has when the next statement comes.
+  CommitPosition received;
+  Kind kind;
+  const char* text;
+  // Empty: nothing is missing.
+  const char* line;
+};
+
+static const SuccessorCase kSuccessors[] = {
+    {"its commit has the same number",
+     {2, 10},
+     Kind::kWrite,
+     "WRITE 2 y",
+     " acknowledged=1.11 seen=2.11"},
+    {"it is behind when it is read",
+     {2, 10},
+     Kind::kRead,
+     "READ 1",
+     " acknowledged=1.11 seen=2.10"},
+    {"it has the commit", {2, 11}, Kind::kWrite, "WRITE 2 y", ""},
+    {"it may have the commit", {2, 11}, Kind::kRead, "READ 1", ""},
+};
+
+TABLE_TEST(gateway_request_trace,
+           successor_without_the_commit_is_reported,
+           kSuccessors) {
+  const SuccessorCase& row = kSuccessors[*row_index];
+  RecordedLog recorded;
+  GatewayRig rig(recorded.log());
+  const auto session = rig.Open("strict");
+  session->Handle(StatementOf(Kind::kWrite, "WRITE 1 x"));
+  rig.timers.Advance(20ms);
+  rig.group.At("p").received = row.received;
+  for (int statement = 0; statement < 2; ++statement) {
+    session->Handle(StatementOf(row.kind, row.text));
+    rig.timers.Advance(20ms);
+  }
+  cr_assert_eq(rig.replies.back().code, ReplyCode::kDone);
+  const bool reported = *row.line != 0;
+  const std::string lines = recorded.Lines("acknowledged_commit_missing");
+  cr_assert_eq(CountLines(lines), reported ? 1 : 0, "%s: %s", row.pattern,
+               lines.c_str());
+  cr_expect(Contains(lines, row.line), "%s", lines.c_str());
+  cr_expect_eq(Contains(rig.metrics.Render(),
+                        "jackdawturn_commits_missing_total{proven=\"yes\"} 1"),
+               reported);
+}
+
 }  // namespace jackdawturn::gateway
