Gateway: Measure the time of a statement from its arrival

m_started was never assigned, so jackdawturn_statement_seconds counted from the start of the clock. It is now the time at which the statement was received, also of one that waits behind another of its session.

--- a/libraries/gateway/client_session.cc
+++ b/libraries/gateway/client_session.cc
@@ -40,10 +40,11 @@
 
 void ClientSession::Handle(ClientStatement statement) {
   if (m_busy) {
-    m_pending.push_back(std::move(statement));
+    m_pending.push_back({std::move(statement), m_context.timers.now()});
     return;
   }
   m_busy = true;
+  m_started = m_context.timers.now();
   Start(statement);
 }
 
@@ -268,8 +269,8 @@
 void ClientSession::LogUnanswered(SessionEnd why) {
   if (m_execution)
     LogUnanswered(m_running, why, m_execution->sent());
-  for (const ClientStatement& pending : m_pending)
-    LogUnanswered(pending.id, why, false);
+  for (const PendingStatement& pending : m_pending)
+    LogUnanswered(pending.statement.id, why, false);
 }
 
 void ClientSession::LogUnanswered(const RequestId& request,
@@ -329,9 +330,11 @@
     m_on_reply(reply);
   if (m_busy || m_pending.empty())
     return;
-  ClientStatement next = std::move(m_pending.front());
+  const PendingStatement next = std::move(m_pending.front());
   m_pending.pop_front();
-  Handle(std::move(next));
+  m_busy = true;
+  m_started = next.received;
+  Start(next.statement);
 }
 
 }  // namespace jackdawturn::gateway
--- a/libraries/gateway/client_session.h
+++ b/libraries/gateway/client_session.h
@@ -77,6 +77,11 @@
   bool idle() const;
 
  private:
+  struct PendingStatement {
+    ClientStatement statement;
+    TimePoint received;
+  };
+
   ClientSession(GatewayContext& context,
                 std::string database,
                 Origin origin,
@@ -123,9 +128,10 @@
   std::shared_ptr<StatementExecution> m_execution;
   // The statement that m_execution runs.
   RequestId m_running;
+  // When the statement in progress was received.
   TimePoint m_started;
   // Statements received while another one was in progress.
-  std::deque<ClientStatement> m_pending;
+  std::deque<PendingStatement> m_pending;
   bool m_busy = false;
 };
 
--- a/tests/gateway/request_trace_test.cc
+++ b/tests/gateway/request_trace_test.cc
@@ -167,4 +167,21 @@
                reported);
 }
 
+// The time from the arrival of a statement to its answer, which includes the
+// wait behind an earlier statement of the session.
+Test(gateway_request_trace, statement_time_counts_from_its_arrival) {
+  GatewayRig rig;
+  rig.group.answer_time = 100ms;
+  const auto session = rig.Open("strict");
+  rig.timers.Advance(10s);
+  session->Handle(StatementOf(Kind::kWrite, "WRITE 1 x"));
+  session->Handle(StatementOf(Kind::kWrite, "WRITE 2 y"));
+  rig.timers.Advance(1s);
+  cr_assert_eq(rig.replies.size(), 2U);
+  // The first one also waits 1 ms for its connection.
+  cr_expect(Contains(rig.metrics.Render(),
+                     "jackdawturn_statement_seconds_sum{code=\"done\"} 0.302"),
+            "%s", rig.metrics.Render().c_str());
+}
+
 }  // namespace jackdawturn::gateway
