--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -305,9 +305,14 @@
 
 void GatewayHost::ChangeRecorded(const StoredRecord& record) {
   const auto change = DecodePrimaryChange(record.body);
-  if (change)
-    return m_context.changes.Observe(GroupName(record.name), record.revision,
-                                     change.value(), m_ports.timers.now());
+  if (change) {
+    const GroupName group(record.name);
+    m_context.changes.Observe(group, record.revision, change.value(),
+                              m_ports.timers.now());
+    return LogMissingCommits(
+        m_log, group, change.value().promoted,
+        m_context.acknowledged.ChangeRecorded(group, change.value()));
+  }
   m_log.LogStateChange(EventKind::kFailover, GroupName(record.name),
                        "bad_claim", "", {{"error", change.error().message}});
 }
--- a/libraries/gateway/gateway_log.cc
+++ b/libraries/gateway/gateway_log.cc
@@ -54,6 +54,23 @@
   series.latency->Record(latency);
 }
 
+void GatewayLog::CountUnanswered(const std::string& reason) {
+  m_metrics
+      .FindCounter("jackdawturn_statements_unanswered_total",
+                   "Statements whose session ended before their answer.",
+                   {{"reason", reason}})
+      .Add();
+}
+
+void GatewayLog::CountMissingCommit(bool proven) {
+  m_metrics
+      .FindCounter("jackdawturn_commits_missing_total",
+                   "Reports of an acknowledged commit that a later primary "
+                   "lacks or may lack.",
+                   {{"proven", proven ? "yes" : "no"}})
+      .Add();
+}
+
 void GatewayLog::Write(TimelineEvent event) {
   m_metrics
       .FindCounter(
--- a/libraries/gateway/local_statement_execution.cc
+++ b/libraries/gateway/local_statement_execution.cc
@@ -95,7 +95,7 @@
   ++m_batch;
   if (m_connection)
     m_context.pool.Discard(std::move(m_connection));
-  if (m_sent)
+  if (m_may_have_run)
     return FinishUnanswered("the proxy stops");
   Refuse(kDraining);
 }
@@ -271,7 +271,8 @@
   if (!m_input.in_transaction() && !m_implicit_transaction && !m_input.writes())
     commands.back().after = m_required;
   const size_t index = commands.size() - 1;
-  m_sent = true;
+  m_may_have_run = true;
+  MarkSent();
   if (m_implicit_transaction)
     commands.push_back({.kind = CommandKind::kRollback});
   Send(std::move(commands),
@@ -415,14 +416,14 @@
 
 void LocalStatementExecution::FinishCommit(ClientReply answer) {
   if (!m_context.confirm_commit || !answer.position)
-    return Finish(std::move(answer));
+    return Acknowledge(answer);
   const CommitPosition position = *answer.position;
   m_context.confirm_commit(
       m_input.route.group, position, m_deadline,
       [self = shared_from_this(), position,
        answer = std::move(answer)](bool survives) {
         if (survives)
-          return self->Finish(answer);
+          return self->Acknowledge(answer);
         self->Log("unconfirmed", {{"position", ToString(position)}});
         self->FinishUnanswered("the primary was being replaced");
       });
@@ -433,7 +434,7 @@
     return false;
   // A repeatable statement may have run before, at an instance that did not
   // answer.
-  m_sent = m_sent && m_input.repeatable();
+  m_may_have_run = m_may_have_run && m_input.repeatable();
   Log("retry", {{"code", std::string(ToString(reply.code))},
                 {"message", reply.message}});
   switch (reply.code) {
--- a/libraries/gateway/local_statement_execution.h
+++ b/libraries/gateway/local_statement_execution.h
@@ -83,6 +83,8 @@
   // Passes the answer to a write or commit on once it is certain not to be lost
   // with the primary.
   void FinishCommit(ClientReply answer);
+  // Passes the success of a write or commit on, and logs that.
+  void Acknowledge(const ClientReply& answer);
   // Returns the connection to the pool, after a rollback if a transaction is
   // open.
   void ReleaseConnection();
@@ -116,7 +118,7 @@
   Timers::TimerId m_response_timer = 0;
   unsigned m_attempts = 0;
   // The statement itself was sent and may have run.
-  bool m_sent = false;
+  bool m_may_have_run = false;
   bool m_finished = false;
 };
 
--- a/libraries/gateway/relayed_statement_execution.cc
+++ b/libraries/gateway/relayed_statement_execution.cc
@@ -75,6 +75,11 @@
   Finish(ErrorReply(m_input.UnansweredCode(), "the proxy stops"));
 }
 
+bool RelayedStatementExecution::sent() const {
+  return StatementExecution::sent() ||
+         (m_local_execution && m_local_execution->sent());
+}
+
 void RelayedStatementExecution::StartAttempt() {
   if (!m_on_done)
     return;
@@ -137,6 +142,7 @@
 }
 
 void RelayedStatementExecution::Send() {
+  MarkSent();
   const uint64_t batch = ++m_batch;
   m_sent_at = m_context.timers.now();
   m_answer_timer =
--- a/libraries/gateway/relayed_statement_execution.h
+++ b/libraries/gateway/relayed_statement_execution.h
@@ -22,6 +22,7 @@
   void Start() override;
   void Abandon() override;
   void Interrupt() override;
+  bool sent() const override;
 
  private:
   RelayedStatementExecution(GatewayContext& context,
