Soak: Run gateway processes under faults from a seed

No test ran several real gateways with signals, instances, the store and promotions that fail at the same time; the models run on a virtual clock.

`jackdawturn soak` starts gateways of its own binary and serves the store, the promotions and two groups of three instances. Each gateway has its own port of the store and its own address of the instances, so single links can be cut. A checker compares what callers were told with the logs of the instances: lost commits, stale reads, double writes, refusals that are not true, requests that are cut after SIGTERM. It stops at the first broken rule.

--- a/cmake/jackdawturn.cmake
+++ b/cmake/jackdawturn.cmake
@@ -43,7 +43,7 @@
   set(all_libraries "")
   foreach(name core http charts sessions routing requests failover fleet targets
           settings observe standins ports port_fakes standin_servers proxy
-        runtime gateway record_feed platform)
+        runtime gateway record_feed platform soak)
     if(TARGET ${name})
       list(APPEND all_libraries ${name})
     endif()
--- a/programs/jackdawturn/commands.h
+++ b/programs/jackdawturn/commands.h
@@ -27,6 +27,7 @@
 void AddDemoCommand(CLI::App& app, RunCommand& run);
 void AddBenchCommand(CLI::App& app, RunCommand& run);
 void AddGatewayCommand(CLI::App& app, RunCommand& run);
+void AddSoakCommand(CLI::App& app, RunCommand& run);
 void AddOperatorCommands(CLI::App& app, RunCommand& run);
 
 }  // namespace jackdawturn
--- a/programs/jackdawturn/main.cc
+++ b/programs/jackdawturn/main.cc
@@ -17,6 +17,7 @@
   AddDemoCommand(app, run);
   AddBenchCommand(app, run);
   AddGatewayCommand(app, run);
+  AddSoakCommand(app, run);
   AddStandinCommands(app, run);
   try {
     app.parse(argc, argv);
