--- a/libraries/gateway/client_session.cc
+++ b/libraries/gateway/client_session.cc
@@ -12,8 +12,26 @@
 
 using Kind = ClientStatement::Kind;
 
+constexpr const char* kStops = "the proxy stops";
+
 }  // namespace
 
+std::string_view ToString(SessionEnd end) {
+  switch (end) {
+    case SessionEnd::kClientLeft:
+      return "client_left";
+    case SessionEnd::kConnectionError:
+      return "connection_error";
+    case SessionEnd::kMalformed:
+      return "malformed";
+    case SessionEnd::kDrain:
+      return "drain";
+    case SessionEnd::kProcessEnd:
+      return "process_end";
+  }
+  return "unknown";
+}
+
 std::shared_ptr<ClientSession> ClientSession::Create(GatewayContext& context,
                                                      std::string database,
                                                      Origin origin,
@@ -24,15 +42,32 @@
 
 void ClientSession::Handle(ClientStatement statement) {
   if (m_busy) {
-    m_pending.push_back(std::move(statement));
+    m_pending.push_back({std::move(statement), m_context.timers.now()});
     return;
   }
   m_busy = true;
+  m_started = m_context.timers.now();
   Start(statement);
 }
 
-bool ClientSession::idle() const {
-  return !m_busy && !m_transaction;
+void ClientSession::EndTransaction() {
+  if (!m_transaction || m_busy || m_transaction->failed)
+    return;
+  CloseTransaction();
+  m_transaction->failed = true;
+}
+
+void ClientSession::AnswerAll() {
+  const auto self = shared_from_this();
+  if (!m_refusal) {
+    m_refusal.emplace();
+    m_refusal->code = m_transaction ? ReplyCode::kAborted : ReplyCode::kBusy;
+    m_refusal->message = m_transaction ? kStops : kDraining;
+  }
+  // Its answer is followed by those of the statements that wait.
+  if (const auto execution = m_execution)
+    execution->Interrupt();
+  RollBack();
 }
 
 const Route* ClientSession::FindRoute() const {
@@ -55,8 +90,15 @@
   // A relayed statement carries the last commit of its own client.
   if (m_origin == Origin::kPeer && !m_transaction)
     m_own_commit = statement.after;
+  if (m_refusal)
+    return RefuseStatement(statement);
   if (m_transaction)
     m_context.timers.Cancel(m_transaction->idle_timer);
+  if (m_transaction && statement.kind != Kind::kRollback &&
+      m_context.DrainReached(DrainPhase::kEndingTransactions)) {
+    RollBack();
+    return RefuseFromNowOn(statement, ReplyCode::kAborted, kStops);
+  }
   if (m_transaction && m_transaction->failed)
     return StartInFailedTransaction(statement);
   switch (statement.kind) {
@@ -105,6 +147,8 @@
 void ClientSession::Begin(const ClientStatement& statement) {
   if (m_transaction)
     return Fail(ReplyCode::kMalformed, "a transaction is already open");
+  if (m_context.DrainReached(DrainPhase::kEndingTransactions))
+    return RefuseFromNowOn(statement, ReplyCode::kBusy, kDraining);
   const Route* route = FindRoute();
   m_transaction.emplace();
   if (!route) {
@@ -150,6 +194,11 @@
     const Route* route = FindRoute();
     if (!route)
       return Fail(ReplyCode::kNoDatabase, "no such database");
+    // Nearly all statements end long before their limit, which may be longer
+    // than the grace period, so it counts late in a drain only.
+    if (m_context.DrainReached(DrainPhase::kEndingTransactions) &&
+        !m_context.HasTimeFor(route->statement_timeout))
+      return RefuseFromNowOn(statement, ReplyCode::kBusy, kDraining);
     input.route = *route;
   }
   if (statement.kind == Kind::kExecute) {
@@ -181,6 +230,7 @@
   else
     m_execution = LocalStatementExecution::Create(m_context, std::move(input),
                                                   std::move(on_done));
+  m_running = statement.id;
   const auto execution = m_execution;
   execution->Start();
 }
@@ -197,7 +247,11 @@
   } else if (done && wrote) {
     RecordOwnCommit(outcome.reply);
   }
-  if (!done) {
+  if (m_refusal) {
+    // The process stops, and its client is told with this answer.
+    RollBack();
+    LogAnswerOfDrain(statement.id, outcome.reply);
+  } else if (!done) {
     m_context.log.LogRequestEvent(
         statement.id, GroupName(), "failed", "",
         {{"code", std::string(ToString(outcome.reply.code))},
@@ -248,8 +302,30 @@
                                 {{"database", m_database}});
 }
 
-void ClientSession::Disconnect() {
+void ClientSession::LogUnanswered(SessionEnd why) {
+  if (m_execution)
+    LogUnanswered(m_running, why, m_execution->sent());
+  for (const PendingStatement& pending : m_pending)
+    LogUnanswered(pending.statement.id, why, false);
+}
+
+void ClientSession::LogUnanswered(const RequestId& request,
+                                  SessionEnd why,
+                                  bool sent) const {
+  const std::string reason(ToString(why));
+  GatewayLog::Fields fields = {
+      {"database", m_database}, {"why", reason}, {"sent", sent ? "yes" : "no"}};
+  // The relaying proxy has a line of its own for the client.
+  if (m_origin == Origin::kPeer)
+    fields["from"] = "proxy";
+  m_context.log.LogRequestEvent(request, GroupName(), "unanswered", "",
+                                std::move(fields));
+  m_context.log.CountUnanswered(reason);
+}
+
+void ClientSession::Disconnect(SessionEnd why) {
   m_on_reply = nullptr;
+  LogUnanswered(why);
   m_pending.clear();
   if (m_execution)
     m_execution->Abandon();
@@ -282,6 +358,30 @@
   Reply(std::move(reply));
 }
 
+void ClientSession::RefuseFromNowOn(const ClientStatement& statement,
+                                    ReplyCode code,
+                                    std::string message) {
+  m_refusal.emplace();
+  m_refusal->code = code;
+  m_refusal->message = std::move(message);
+  RefuseStatement(statement);
+}
+
+void ClientSession::RefuseStatement(const ClientStatement& statement) {
+  LogAnswerOfDrain(statement.id, *m_refusal);
+  Reply(*m_refusal);
+}
+
+void ClientSession::LogAnswerOfDrain(const RequestId& id,
+                                     const ClientReply& reply) {
+  const Route* route = FindRoute();
+  m_context.log.LogRequestEvent(id, route ? route->group : GroupName(),
+                                "answered_by_drain", "",
+                                {{"code", std::string(ToString(reply.code))},
+                                 {"message", reply.message},
+                                 {"database", m_database}});
+}
+
 void ClientSession::Reply(ClientReply reply) {
   reply.state = state();
   m_busy = false;
@@ -290,9 +390,11 @@
     m_on_reply(reply);
   if (m_busy || m_pending.empty())
     return;
-  ClientStatement next = std::move(m_pending.front());
+  const PendingStatement next = std::move(m_pending.front());
   m_pending.pop_front();
-  Handle(std::move(next));
+  m_busy = true;
+  m_started = next.received;
+  Start(next.statement);
 }
 
 }  // namespace jackdawturn::gateway
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "gateway/client_session.h"
+#include "gateway/commit_confirmation.h"
 #include "gateway/gateway_context.h"
 #include "gateway/group_members.h"
 #include "gateway/lease_renewal.h"
@@ -67,8 +68,8 @@
   // zone is not partitioned from the others, and no drain has begun.
   bool ready() const;
   // Reports not ready from now on, and marks this proxy as leaving in its peer
-  // record.
-  void Drain();
+  // record. Sessions then keep to the schedule.
+  void Drain(const DrainSchedule& schedule);
 
   // Runs `action` when the first configuration is in force: immediately if it
   // already is.
@@ -127,6 +128,8 @@
   void UpdateServer(const BackendServer& server);
   // Drops all state of an instance that has left.
   void ForgetServer(const GroupName& group, const InstanceName& id);
+  void ChangesListed(const RecordList& list);
+  void ChangeRecorded(const StoredRecord& record);
   void PeersListed(const RecordList& list);
   void PeerChanged(const RecordChange& change);
   std::optional<Peer> DecodePeerRecord(const StoredRecord& record);
@@ -162,11 +165,13 @@
   GatewayLog& m_log;
   GatewayContext m_context;
   LeaseRenewal m_lease_renewal;
+  CommitConfirmation m_commit_confirmation;
   SharedWatches m_watches;
   StoreRetries m_store_retries;
   StoreSync m_configuration_sync;
   StoreSync m_servers_sync;
   StoreSync m_peers_sync;
+  StoreSync m_changes_sync;
   PeerRegistration m_registration;
   MemberRecords m_member_records;
   std::map<GroupName, GroupState> m_groups;
@@ -178,7 +183,6 @@
   bool m_servers_listed = false;
   // The isolation of this proxy's zone as last logged.
   bool m_isolation_logged = false;
-  bool m_draining = false;
 };
 
 }  // namespace jackdawturn::gateway
--- a/libraries/gateway/gateway_log.h
+++ b/libraries/gateway/gateway_log.h
@@ -36,6 +36,12 @@
   // records its latency.
   // Precondition: `latency` is not negative.
   void RecordStatement(ReplyCode code, Duration latency);
+  // Counts a statement whose session ended before its answer, by the reason of
+  // the end.
+  void CountUnanswered(const std::string& reason);
+  // Counts an acknowledged commit that a later primary lacks or, if that is not
+  // `proven`, may lack.
+  void CountMissingCommit(bool proven);
 
  private:
   // The metric series of one outcome, cached to avoid a look-up for each
--- a/libraries/gateway/local_statement_execution.cc
+++ b/libraries/gateway/local_statement_execution.cc
@@ -88,6 +88,18 @@
   m_on_done = nullptr;
 }
 
+void LocalStatementExecution::Interrupt() {
+  if (!m_on_done)
+    return;
+  // A late reply is then ignored.
+  ++m_batch;
+  if (m_connection)
+    m_context.pool.Discard(std::move(m_connection));
+  if (m_may_have_run)
+    return FinishUnanswered("the proxy stops");
+  Refuse(kDraining);
+}
+
 void LocalStatementExecution::StartAttempt() {
   if (!m_on_done)
     return;
@@ -259,6 +271,8 @@
   if (!m_input.in_transaction() && !m_implicit_transaction && !m_input.writes())
     commands.back().after = m_required;
   const size_t index = commands.size() - 1;
+  m_may_have_run = true;
+  MarkSent();
   if (m_implicit_transaction)
     commands.push_back({.kind = CommandKind::kRollback});
   Send(std::move(commands),
@@ -395,12 +409,32 @@
   ReleaseConnection();
   if (!done && movable && RetryIfNotRun(reply))
     return;
+  if (done && m_input.changes_data())
+    return FinishCommit(std::move(answer));
   Finish(std::move(answer));
 }
 
+void LocalStatementExecution::FinishCommit(ClientReply answer) {
+  if (!m_context.confirm_commit || !answer.position)
+    return Acknowledge(answer);
+  const CommitPosition position = *answer.position;
+  m_context.confirm_commit(
+      m_input.route.group, position, m_deadline,
+      [self = shared_from_this(), position,
+       answer = std::move(answer)](bool survives) {
+        if (survives)
+          return self->Acknowledge(answer);
+        self->Log("unconfirmed", {{"position", ToString(position)}});
+        self->FinishUnanswered("the primary was being replaced");
+      });
+}
+
 bool LocalStatementExecution::RetryIfNotRun(const BackendReply& reply) {
   if (!GuaranteesNotRun(reply.code))
     return false;
+  // A repeatable statement may have run before, at an instance that did not
+  // answer.
+  m_may_have_run = m_may_have_run && m_input.repeatable();
   Log("retry", {{"code", std::string(ToString(reply.code))},
                 {"message", reply.message}});
   switch (reply.code) {
--- a/libraries/gateway/local_statement_execution.h
+++ b/libraries/gateway/local_statement_execution.h
@@ -23,6 +23,7 @@
   Create(GatewayContext& context, Input input, OnDone on_done);
   void Start() override;
   void Abandon() override;
+  void Interrupt() override;
 
  private:
   // Covers the resolution of PositionHistory and the time from the client's
@@ -79,6 +80,11 @@
   // is at capacity.
   void ReportPrimaryFull();
   void Refuse(const std::string& reason);
+  // Passes the answer to a write or commit on once it is certain not to be lost
+  // with the primary.
+  void FinishCommit(ClientReply answer);
+  // Passes the success of a write or commit on, and logs that.
+  void Acknowledge(const ClientReply& answer);
   // Returns the connection to the pool, after a rollback if a transaction is
   // open.
   void ReleaseConnection();
@@ -111,6 +117,8 @@
   std::map<uint64_t, BackendPool::ConnectionPtr> m_timed_out_connections;
   Timers::TimerId m_response_timer = 0;
   unsigned m_attempts = 0;
+  // The statement itself was sent and may have run.
+  bool m_may_have_run = false;
   bool m_finished = false;
 };
 
--- a/libraries/gateway/primary_change_claim.cc
+++ b/libraries/gateway/primary_change_claim.cc
@@ -1,7 +1,5 @@
 #include <utility>
 
-#include <boost/json.hpp>
-
 #include "gateway/group_members.h"
 #include "gateway/primary_change.h"
 
@@ -12,30 +10,7 @@
 using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
 
 constexpr Duration kStoreTimeout = 800ms;
-
-// The record of a group in RecordCollection::kPrimaryChanges.
-struct Claim {
-  std::string claimant;
-  std::string attempt;
-  bool ended = false;
-};
-
-std::string EncodeClaim(const Claim& claim) {
-  return boost::json::serialize(boost::json::object{{"holder", claim.claimant},
-                                                    {"attempt", claim.attempt},
-                                                    {"ended", claim.ended}});
-}
-
-Result<Claim> DecodeClaim(const std::string& body) {
-  constexpr const char* kStep = "change.claim";
-  TRY(const boost::json::value value, ParseJson(body, kStep));
-  TRY(const JsonFields fields, JsonFields::Create(value, kStep));
-  Claim claim;
-  TRY(claim.claimant, fields.String("holder"));
-  TRY(claim.attempt, fields.String("attempt"));
-  TRY(claim.ended, fields.Boolean("ended"));
-  return claim;
-}
+constexpr Duration kReleaseRetryDelay = 200ms;
 
 }  // namespace
 
@@ -52,33 +27,40 @@
       return WriteClaim(0);
     return End(Outcome::kFailed, record.error().message);
   }
-  const auto claim = DecodeClaim(record.value().body);
-  if (!claim)
+  const auto claim = DecodePrimaryChange(record.value().body);
+  if (claim) {
+    // The age of a claim counts from when this proxy first saw it.
+    m_context.changes.Observe(m_options.group, record.value().revision,
+                              claim.value(), m_context.timers.now());
+    if (m_context.changes.Claimed(m_options.group, m_context.timers.now()))
+      return End(Outcome::kClaimedByOther, claim.value().claimant.value());
+    m_replaces_unresolved =
+        m_context.changes.Pending(m_options.group, m_context.timers.now());
+    if (m_options.reason == kAbandonedChange && !m_replaces_unresolved)
+      return End(Outcome::kNotNeeded, "the earlier change has ended");
+  } else {
     Log("bad_claim", {{"error", claim.error().message}});
-  // The age of a claim is measured on this proxy's clock, from the time at
-  // which this proxy first read it.
-  auto& seen = m_context.claims[m_options.group];
-  if (seen.revision != record.value().revision)
-    seen = {record.value().revision, m_context.timers.now()};
-  const bool active = claim && !claim.value().ended;
-  if (active && m_context.timers.now() < seen.first_seen + kClaimTime)
-    return End(Outcome::kClaimedByOther, claim.value().claimant);
+  }
   WriteClaim(record.value().revision);
 }
 
 void PrimaryChange::WriteClaim(uint64_t expected) {
   m_claimed_at = m_context.timers.now();
-  m_ports.store.Update(
-      RecordCollection::kPrimaryChanges, m_options.group.value(), expected,
-      EncodeClaim({m_options.claimant.value(), m_options.attempt, false}),
-      kStoreTimeout, [self = shared_from_this()](auto record) {
-        self->ClaimWritten(std::move(record));
-      });
+  m_ports.store.Update(RecordCollection::kPrimaryChanges,
+                       m_options.group.value(), expected,
+                       EncodePrimaryChange({.claimant = m_options.claimant,
+                                            .attempt = m_options.attempt,
+                                            .unresolved = m_replaces_unresolved,
+                                            .term = NewestTerm(),
+                                            .candidate = m_candidate}),
+                       kStoreTimeout, [self = shared_from_this()](auto record) {
+                         self->ClaimWritten(std::move(record));
+                       });
 }
 
 void PrimaryChange::ClaimWritten(Result<StoredRecord> record) {
   if (record)
-    return Claimed(record.value().revision);
+    return Claimed(record.value());
   if (record.error().code == ErrorCode::kTimeout)
     return ReadBackClaim();
   if (record.error().code == ErrorCode::kConflict)
@@ -93,12 +75,12 @@
       [self = shared_from_this()](auto record) {
         if (!record)
           return self->End(Outcome::kFailed, record.error().message);
-        const auto claim = DecodeClaim(record.value().body);
+        const auto claim = DecodePrimaryChange(record.value().body);
         if (!claim || claim.value().attempt != self->m_options.attempt)
           return self->End(
               Outcome::kClaimedByOther,
               "the claim was lost: the record holds another attempt");
-        self->Claimed(record.value().revision);
+        self->Claimed(record.value());
       });
 }
 
@@ -131,12 +113,35 @@
 }
 
 void PrimaryChange::Release() {
+  // The record must say what came of the change, because commits wait for it.
+  constexpr unsigned kMaxReleaseCalls = 10;
+  const bool promoted = !m_promoted.empty();
+  const PrimaryChangeRecord ended{
+      .claimant = m_options.claimant,
+      .attempt = m_options.attempt,
+      .ended = true,
+      .unresolved =
+          !promoted && (m_replaces_unresolved || m_promotion_unanswered),
+      .unanswered = !promoted && m_promotion_unanswered,
+      .term = NewestTerm(),
+      .promoted = m_promoted,
+      .promoted_term = m_promoted_term,
+      .received = m_promoted_received};
   m_ports.store.Update(
       RecordCollection::kPrimaryChanges, m_options.group.value(), m_token,
-      EncodeClaim({m_options.claimant.value(), m_options.attempt, true}),
-      kStoreTimeout, [self = shared_from_this()](auto record) {
-        if (!record)
-          self->Log("release_failed", {{"error", record.error().message}});
+      EncodePrimaryChange(ended), kStoreTimeout,
+      [self = shared_from_this(), ended](auto record) {
+        if (record)
+          return self->m_context.changes.Observe(self->m_options.group,
+                                                 record.value().revision, ended,
+                                                 self->m_context.timers.now());
+        self->Log("release_failed", {{"error", record.error().message}});
+        // A conflict: an earlier call was carried out, or there is a new claim.
+        if (record.error().code == ErrorCode::kConflict ||
+            ++self->m_release_calls >= kMaxReleaseCalls)
+          return;
+        self->m_context.timers.After(kReleaseRetryDelay,
+                                     [self] { self->Release(); });
       });
 }
 
--- a/libraries/gateway/relayed_statement_execution.h
+++ b/libraries/gateway/relayed_statement_execution.h
@@ -21,6 +21,8 @@
   Create(GatewayContext& context, Input input, OnDone on_done);
   void Start() override;
   void Abandon() override;
+  void Interrupt() override;
+  bool sent() const override;
 
  private:
   RelayedStatementExecution(GatewayContext& context,
--- a/tests/platform/client_listener_test.cc
+++ b/tests/platform/client_listener_test.cc
@@ -30,16 +30,20 @@
   void List(RecordCollection collection,
             Duration,
             std::function<void(Result<RecordList>)> on_list) override {
-    if (collection == RecordCollection::kConfiguration)
+    if (configured && collection == RecordCollection::kConfiguration)
       on_list(RecordList{{{"main", 1, "1"}}, 1});
   }
+
+  // Whether lists are answered.
+  bool configured = true;
 };
 
 // A gateway that listens on loopback, and one client.
 struct ListenerRig {
-  explicit ListenerRig(ClientSession::Origin origin)
+  explicit ListenerRig(ClientSession::Origin origin, bool configured = true)
       : listener(ClientListener::Create(context, {"127.0.0.1", 0}, origin, host)
                      .value()) {
+    store.configured = configured;
     host.Start();
     const auto address = ToTcpEndpoint(listener->endpoint()).value();
     client.open(address.protocol());
@@ -157,6 +161,87 @@
   cr_expect_eq(rig.listener->unsent(), 0U);
 }
 
+static size_t CountOf(const std::string& text, const std::string& word) {
+  size_t count = 0;
+  for (size_t at = text.find(word); at != std::string::npos;
+       at = text.find(word, at + 1))
+    ++count;
+  return count;
+}
+
+// A proxy sends the lines that belong to one statement at once. A session that
+// is to end must answer all lines that were read, or the other end takes those
+// that never ran for lost.
+struct BatchCase {
+  ClientSession::Origin origin;
+  const char* startup;
+  const char* batch;
+  size_t answers;
+};
+
+static const BatchCase kBatches[] = {
+    {ClientSession::Origin::kClient, "STARTUP db\r\n",
+     "QUERY 1 SET a b\r\nQUERY 2 SET c d\r\n", 2},
+    {ClientSession::Origin::kPeer, "STARTUP db vm vm/1/db\r\n",
+     "QUERY - SET a b\r\nQUERY - SET c d\r\nQUERY 3 READ 1\r\n", 3},
+    {ClientSession::Origin::kPeer, "STARTUP db vm vm/1/db\r\n",
+     "QUERY - SET a b\r\nQUERY - BEGIN\r\nQUERY 3 WRITE 1 x\r\n"
+     "QUERY - ROLLBACK\r\n",
+     4},
+};
+
+TABLE_TEST(platform_listener, closing_session_answers_its_batch, kBatches) {
+  const BatchCase& row = kBatches[*row_index];
+  ListenerRig rig(row.origin);
+  rig.listener->CloseIdleSessions();
+  rig.Send(std::string(row.startup) + row.batch);
+  // No instance is there, so statements are refused when their time is over.
+  rig.timers.Advance(2s);
+  rig.listener->CloseIdleSessions();
+  const std::string received = rig.ReadToEnd();
+  cr_expect_eq(CountOf(received, "READY"), row.answers + 1, "%s",
+               received.c_str());
+}
+
+// A line that cannot be read ends the connection, but the statements before it
+// are answered first.
+Test(platform_listener, refusal_follows_the_answers_before_it) {
+  ListenerRig rig(ClientSession::Origin::kClient);
+  rig.Send(
+      "STARTUP db\r\nQUERY 1 READ 1\r\nQUERY 2 SET a b\r\nGARBAGE\r\n"
+      "QUERY 3 SET c d\r\n");
+  rig.timers.Advance(2s);
+  const std::string received = rig.ReadToEnd();
+  cr_expect_eq(CountOf(received, "READY"), 3U, "%s", received.c_str());
+  const size_t refusal = received.find("ERROR MALFORMED");
+  cr_assert_neq(refusal, std::string::npos);
+  cr_expect_gt(refusal, received.rfind("READY"));
+  cr_expect_eq(rig.listener->sessions(), 0U);
+}
+
+// A process that stops before it knows a configuration refuses the clients that
+// wait for it.
+Test(platform_listener, waiting_startup_is_refused_by_a_drain) {
+  ListenerRig rig(ClientSession::Origin::kClient, false);
+  rig.Send("STARTUP db\r\n");
+  cr_expect_eq(rig.listener->sessions(), 1U);
+  rig.listener->Drain(DrainPhase::kClosing);
+  const std::string received = rig.ReadToEnd();
+  cr_expect(received.starts_with("ERROR BUSY"), "%s", received.c_str());
+  cr_expect_eq(rig.listener->sessions(), 0U);
+}
+
+// A process that ends with statements in progress answers all that were read.
+Test(platform_listener, statements_in_progress_are_answered_at_the_end) {
+  ListenerRig rig(ClientSession::Origin::kClient);
+  rig.Send("STARTUP db\r\nQUERY 1 READ 1\r\nQUERY 2 WRITE 1 x\r\n");
+  rig.listener->Drain(DrainPhase::kAnswering);
+  const std::string received = rig.ReadToEnd();
+  cr_expect_eq(CountOf(received, "ERROR BUSY"), 2U, "%s", received.c_str());
+  cr_expect_eq(CountOf(received, "READY"), 3U);
+  cr_expect_eq(rig.listener->sessions(), 0U);
+}
+
 // Whatever arrives on a connection, only that connection ends.
 struct GarbageCase {
   ClientSession::Origin origin;
@@ -189,4 +274,64 @@
   cr_expect(next.is_open());
 }
 
+// Whatever ends a connection, a request that was read and not answered is
+// counted with the reason.
+struct EndCase {
+  enum class Cause { kClientCloses, kConnectionResets, kProcessEnds, kText };
+  Cause cause;
+  // kText: what the client sends.
+  const char* text;
+  // Null: the connection stays until the request is answered.
+  const char* reason;
+};
+
+static const EndCase kEnds[] = {
+    {EndCase::Cause::kClientCloses, "", "client_left"},
+    {EndCase::Cause::kConnectionResets, "", "connection_error"},
+    {EndCase::Cause::kProcessEnds, "", "process_end"},
+    {EndCase::Cause::kText, "TERMINATE\r\n", "client_left"},
+    {EndCase::Cause::kText, "HELLO\r\n", nullptr},
+};
+
+TABLE_TEST(platform_listener, unanswered_request_is_counted, kEnds) {
+  const EndCase& row = kEnds[*row_index];
+  ListenerRig rig(ClientSession::Origin::kClient);
+  // No instance is known, so the write waits.
+  rig.Send("STARTUP db\r\nQUERY 1 WRITE 1 x\r\n");
+  cr_assert_eq(rig.listener->sessions(), 1U);
+  switch (row.cause) {
+    case EndCase::Cause::kConnectionResets:
+      rig.client.set_option(asio::socket_base::linger(true, 0));
+      rig.client.close();
+      break;
+    case EndCase::Cause::kClientCloses:
+      // A close with an answer that was not read resets the connection.
+      rig.client.shutdown(Tcp::socket::shutdown_send);
+      break;
+    case EndCase::Cause::kProcessEnds:
+      rig.listener.reset();
+      break;
+    case EndCase::Cause::kText:
+      rig.Send(row.text);
+      break;
+  }
+  constexpr int kMaxPolls = 1'000;
+  for (int polls = 0;
+       polls < kMaxPolls && rig.listener && rig.listener->sessions() > 0;
+       ++polls) {
+    rig.Poll();
+    std::this_thread::sleep_for(1ms);
+  }
+  const std::string total = "jackdawturn_statements_unanswered_total{";
+  if (!row.reason) {
+    cr_assert_eq(rig.metrics.Render().find(total), std::string::npos);
+    cr_assert_eq(rig.listener->sessions(), 1U);
+    return;
+  }
+  const std::string counted =
+      total + "reason=\"" + std::string(row.reason) + "\"} 1";
+  cr_assert(rig.metrics.Render().find(counted) != std::string::npos, "%s",
+            counted.c_str());
+}
+
 }  // namespace jackdawturn::gateway::platform
--- a/tests/support/replicated_world_parts.h
+++ b/tests/support/replicated_world_parts.h
@@ -25,6 +25,8 @@
   uint64_t log_term = 1;
   uint64_t paused_term = 0;
   bool running = true;
+  // It restarted, as a replica, after the promotion in progress was requested.
+  bool restarted_in_promotion = false;
   // Since when it, as an outdated primary, has reached its successor.
   std::optional<TimePoint> reaches_successor_since;
   // Writes that wait for a replica: the commit, and what sends the reply.
@@ -63,6 +65,8 @@
 
   // Runs the action now, or when the proxy is resumed.
   void RunWhenAwake(const std::function<void()>& action) {
+    if (m_stopped)
+      return;
     if (m_timers.now() >= m_resumes_at)
       return action();
     m_timers.After(m_resumes_at - m_timers.now(),
@@ -72,6 +76,8 @@
     m_resumes_at = m_timers.now() + time;
     m_suspended += time;
   }
+  // Nothing runs any more.
+  void Stop() { m_stopped = true; }
   bool suspended_within(Duration time) const {
     return m_timers.now() < m_resumes_at + time;
   }
@@ -80,6 +86,8 @@
   void Schedule(TimerId id, Duration delay, std::function<void()> action) {
     m_ids[id] = m_timers.After(delay, [this, id,
                                        action = std::move(action)]() mutable {
+      if (m_stopped)
+        return;
       if (m_timers.now() < m_resumes_at)
         return Schedule(id, m_resumes_at - m_timers.now(), std::move(action));
       m_ids.erase(id);
@@ -93,6 +101,7 @@
   const TimePoint m_start;
   TimePoint m_resumes_at;
   Duration m_suspended{0};
+  bool m_stopped = false;
   TimerId m_next = 1;
   std::map<TimerId, TimerId> m_ids;
 };
@@ -103,6 +112,9 @@
   ProxyStore(ReplicatedWorld& world, std::string proxy, ProxyTimers& timers)
       : m_world(world), m_proxy(std::move(proxy)), m_timers(timers) {}
 
+  // Returns whether the answer to its last watch of the changes was lost.
+  bool deaf() const { return m_deaf; }
+
   void List(RecordCollection collection,
             Duration timeout,
             std::function<void(Result<RecordList>)> on_list) override {
@@ -152,7 +164,7 @@
           const uint64_t current =
               found == m_world.m_records.end() ? 0 : found->second.revision;
           if (current != expected &&
-              m_world.m_mutant != WorldMutant::kUnconditionalUpdates)
+              m_world.m_options.mutant != WorldMutant::kUnconditionalUpdates)
             return Error{ErrorCode::kConflict, "world", "", ""};
           m_world.PutRecord(collection, name, body);
           return m_world.m_records.at({collection, name});
@@ -196,15 +208,32 @@
     constexpr Duration kPollInterval = std::chrono::milliseconds(20);
     RecordChanges changes;
     changes.revision = m_world.m_revision;
+    const bool silent =
+        collection == RecordCollection::kPrimaryChanges &&
+        m_world.m_options.mutant == WorldMutant::kChangesNotWatched;
     for (const auto& [key, record] : m_world.m_records) {
-      if (key.first == collection && record.revision > revision)
+      if (key.first == collection && record.revision > revision && !silent)
         changes.changes.push_back({record, false});
     }
     const bool over = m_world.m_timers.now() >= end;
     if (reachable() ? over || !changes.changes.empty() : over) {
+      // A connection on which an answer is lost returns nothing further.
+      if (!over && m_world.m_lost_share > 0 &&
+          m_world.Chance(m_world.m_lost_share)) {
+        m_deaf = m_deaf || collection == RecordCollection::kPrimaryChanges;
+        m_world.m_timers.After(
+            end - m_world.m_timers.now(), [this, on_changes] {
+              m_timers.RunWhenAwake([on_changes] {
+                on_changes(Error{ErrorCode::kTimeout, "world", "", ""});
+              });
+            });
+        return;
+      }
       const auto result = reachable()
                               ? Result<RecordChanges>(changes)
                               : Error{ErrorCode::kTimeout, "world", "", ""};
+      if (result && collection == RecordCollection::kPrimaryChanges)
+        m_deaf = false;
       return m_timers.RunWhenAwake(
           [on_changes, result] { on_changes(result); });
     }
@@ -217,10 +246,12 @@
   ReplicatedWorld& m_world;
   const std::string m_proxy;
   ProxyTimers& m_timers;
+  bool m_deaf = false;
 };
 
 struct ReplicatedWorld::Proxy {
-  Proxy(ReplicatedWorld& world, size_t index, uint64_t seed);
+  // `life` is the number of earlier proxies in its place.
+  Proxy(ReplicatedWorld& world, size_t index, uint64_t life);
 
   const std::string name;
   ProxyTimers timers;
