--- /dev/null
+++ b/libraries/gateway/gateway_host_records.cc
@@ -0,0 +1,181 @@
+#include <set>
+#include <utility>
+
+#include "gateway/gateway_host.h"
+
+// What the records of the store change in the decisions of a proxy.
+
+namespace jackdawturn::gateway {
+
+void GatewayHost::ConfigurationListed(const RecordList& list) {
+  for (const StoredRecord& record : list.records)
+    ConfigurationChanged(record);
+}
+
+void GatewayHost::ConfigurationChanged(const StoredRecord& record) {
+  auto decoded = m_ports.decode_config(record);
+  if (!decoded) {
+    m_log.LogStateChange(EventKind::kTargets, GroupName(), "refused",
+                         record.name, {{"error", decoded.error().message}});
+    return;
+  }
+  // Versions only increase; an older one is never put in force again.
+  if (m_context.config && decoded.value().version <= m_context.config->version)
+    return;
+  for (auto& [database, route] : decoded.value().routes)
+    route.last_changed_version = decoded.value().version;
+  if (m_context.config)
+    decoded.value().InheritRouteVersions(*m_context.config);
+  m_context.config =
+      std::make_shared<const GatewayConfig>(std::move(decoded.value()));
+  m_log.LogStateChange(
+      EventKind::kTargets, GroupName(), "in_force", record.name,
+      {{"version", std::to_string(m_context.config->version)},
+       {"revision", std::to_string(record.revision)},
+       {"routes", std::to_string(m_context.config->routes.size())}});
+  for (const auto& action : std::exchange(m_awaiting_configuration, {}))
+    action();
+}
+
+void GatewayHost::ServersListed(const RecordList& list) {
+  std::set<InstanceName> unlisted = m_directory.AllInstanceIds();
+  size_t listed = 0;
+  for (const StoredRecord& record : list.records) {
+    const auto server = DecodeServer(record);
+    if (!server)
+      continue;
+    ++listed;
+    unlisted.erase(server->id);
+    UpdateServer(*server);
+  }
+  for (const InstanceName& id : unlisted)
+    ServerUnlisted(id, list.revision);
+  m_servers_listed = true;
+  m_log.LogStateChange(EventKind::kMembership, GroupName(), "listed", "",
+                       {{"instances", std::to_string(listed)},
+                        {"unreadable", std::to_string(list.unreadable)},
+                        {"revision", std::to_string(list.revision)}});
+}
+
+void GatewayHost::ServerChanged(const RecordChange& change) {
+  if (change.removed)
+    return ServerUnlisted(InstanceName(change.record.name),
+                          change.record.revision);
+  if (const auto server = DecodeServer(change.record))
+    return UpdateServer(*server);
+  // Another writer has replaced the entry; it names no instance any more.
+  if (m_directory.Find(InstanceName(change.record.name)))
+    ServerUnlisted(InstanceName(change.record.name), change.record.revision);
+}
+
+void GatewayHost::ServerUnlisted(const InstanceName& id, uint64_t revision) {
+  m_log.LogStateChange(EventKind::kMembership, GroupName(), "unlisted",
+                       id.value(), {{"revision", std::to_string(revision)}});
+  const BackendServer* known = m_directory.Find(id);
+  const GroupName group = known ? known->group : GroupName();
+  m_directory.Remove(id, m_ports.timers.now());
+  if (!m_directory.Find(id))
+    ForgetServer(group, id);
+}
+
+std::optional<BackendServer> GatewayHost::DecodeServer(
+    const StoredRecord& record) {
+  auto server = m_ports.decode_server(record);
+  if (server)
+    return std::move(server.value());
+  m_log.LogStateChange(EventKind::kMembership, GroupName(), "bad_entry",
+                       record.name, {{"error", server.error().message}});
+  return std::nullopt;
+}
+
+void GatewayHost::UpdateServer(const BackendServer& server) {
+  const BackendServer* known = m_directory.Find(server.id);
+  if (known && server.revision < known->revision)
+    return;
+  if (!known || known->role != server.role ||
+      known->draining != server.draining ||
+      known->incarnation != server.incarnation) {
+    m_log.LogStateChange(
+        EventKind::kMembership, server.group, "instance", server.id.value(),
+        {{"role",
+          server.role == ReplicationRole::kPrimary ? "primary" : "replica"},
+         {"draining", server.draining ? "yes" : "no"},
+         {"revision", std::to_string(server.revision)}});
+  }
+  if (known && known->incarnation != server.incarnation) {
+    // The instance has restarted and lost all commits that it had received.
+    m_context.progress.erase(server.id);
+    m_context.failure_detector.Forget(server.id);
+    m_context.last_member_loss[server.group] = m_ports.timers.now();
+  }
+  m_directory.Update(server);
+}
+
+void GatewayHost::ForgetServer(const GroupName& group, const InstanceName& id) {
+  m_log.LogStateChange(EventKind::kMembership, group, "gone", id.value(), {});
+  m_pool.Forget(id);
+  m_context.failure_detector.Forget(id);
+  m_context.lag_monitor.Forget(id);
+  m_context.progress.erase(id);
+  m_context.last_member_loss[group] = m_ports.timers.now();
+}
+
+void GatewayHost::ChangesListed(const RecordList& list) {
+  for (const StoredRecord& record : list.records)
+    ChangeRecorded(record);
+}
+
+void GatewayHost::ChangeRecorded(const StoredRecord& record) {
+  const auto change = DecodePrimaryChange(record.body);
+  if (change) {
+    const GroupName group(record.name);
+    m_context.changes.Observe(group, record.revision, change.value(),
+                              m_ports.timers.now());
+    return LogMissingCommits(
+        m_log, group, change.value().promoted,
+        m_context.acknowledged.ChangeRecorded(group, change.value()));
+  }
+  m_log.LogStateChange(EventKind::kFailover, GroupName(record.name),
+                       "bad_claim", "", {{"error", change.error().message}});
+}
+
+std::optional<Peer> GatewayHost::DecodePeerRecord(const StoredRecord& record) {
+  auto peer = DecodePeer(record.name, record.body);
+  if (peer)
+    return std::move(peer.value());
+  m_log.LogStateChange(EventKind::kMembership, GroupName(), "bad_peer",
+                       record.name, {{"error", peer.error().message}});
+  return std::nullopt;
+}
+
+void GatewayHost::PeersListed(const RecordList& list) {
+  std::vector<Peer> peers;
+  const StoredRecord* own = nullptr;
+  for (const StoredRecord& record : list.records) {
+    if (record.name == m_options.name.value())
+      own = &record;
+    if (auto peer = DecodePeerRecord(record))
+      peers.push_back(std::move(*peer));
+  }
+  m_log.LogStateChange(EventKind::kMembership, GroupName(), "peers_listed", "",
+                       {{"peers", std::to_string(peers.size())},
+                        {"revision", std::to_string(list.revision)}});
+  m_peers.Replace(std::move(peers));
+  m_registration.ReconcileOwnRecord(own);
+}
+
+void GatewayHost::PeerChanged(const RecordChange& change) {
+  const bool own = change.record.name == m_options.name.value();
+  if (change.removed) {
+    m_peers.Remove(VmName(change.record.name));
+    if (own)
+      m_registration.ReconcileOwnRecord(nullptr);
+    return;
+  }
+  if (own)
+    m_registration.ReconcileOwnRecord(&change.record);
+  if (const auto peer = DecodePeerRecord(change.record))
+    m_peers.Update(*peer);
+}
+
+}  // namespace jackdawturn::gateway
--- a/libraries/gateway/local_statement_execution.cc
+++ b/libraries/gateway/local_statement_execution.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "gateway/read_selection.h"
-
 namespace jackdawturn::gateway {
 
 namespace {
@@ -19,22 +17,9 @@
 // For this time after a refusal as lagging, a replica receives no read whose
 // position it is not known to have.
 constexpr Duration kLaggingBackoff = 250ms;
-// The time for which replicas are assumed not to have applied a commit of the
-// session itself.
-constexpr Duration kTypicalReplicationLag = 250ms;
-// A connection whose batch is still unanswered this long after its timeout is
-// closed.
-constexpr Duration kLateReplyTimeout = 3s;
-// A repeatable read that is unanswered after this share of its latency target
-// is retried at another instance.
-constexpr double kResponseTimeoutShare = 0.75;
-constexpr Duration kMinResponseTimeout = 120ms;
 // Relayed statements are refused after this share of their latency target, so
 // that the relaying proxy has time to retry elsewhere.
 constexpr double kPeerWaitShare = 0.75;
-// Longer than kMinResponseTimeout: a statement of a transaction cannot be
-// retried at another instance.
-constexpr Duration kMinTransactionResponseTimeout = 250ms;
 
 }  // namespace
 
@@ -144,39 +129,6 @@
   return primary;
 }
 
-const BackendServer* LocalStatementExecution::ChooseForRead() {
-  const GroupName& group = m_input.route.group;
-  const TimePoint now = m_context.timers.now();
-  PositionHistory& history = m_context.positions[group];
-  m_required = history.PositionCovering(now - m_input.route.max_staleness +
-                                        kStalenessMargin);
-  bool recently_written = false;
-  if (m_required && m_input.own_commit) {
-    m_required = std::max(*m_required, *m_input.own_commit);
-    const auto seen = history.SeenAt(*m_input.own_commit);
-    recently_written = *m_required == *m_input.own_commit &&
-                       (!seen || *seen + kTypicalReplicationLag > now);
-  }
-  const BackendServer* primary = m_context.directory.Primary(group);
-  std::vector<ReadCandidate> candidates;
-  for (const BackendServer* server : m_context.directory.NonDraining(group)) {
-    const ReplicaProgress& progress = m_context.progress[server->id];
-    const bool same_zone = server->zone == m_context.zone;
-    candidates.push_back(
-        {.id = server->id,
-         .primary = primary && primary->id == server->id,
-         .same_zone = same_zone,
-         .outstanding = m_context.pool.Outstanding(server->id),
-         .unreachable = m_context.pool.Unreachable(server->id) ||
-                        (m_context.isolation.isolated_since() && !same_zone),
-         .applied = progress.applied,
-         .lagging = now < progress.lagging_until});
-  }
-  const auto chosen =
-      ChooseReadInstance(candidates, m_required, recently_written, m_avoided);
-  return chosen ? m_context.directory.Find(*chosen) : nullptr;
-}
-
 void LocalStatementExecution::ScheduleAttempt(Duration delay) {
   m_context.timers.After(delay,
                          [self = shared_from_this()] { self->StartAttempt(); });
@@ -322,76 +274,6 @@
   handler(std::move(replies.value()));
 }
 
-void LocalStatementExecution::ResponseTimedOut() {
-  // Late replies then belong to an older batch and are ignored.
-  ++m_batch;
-  Log("silent",
-      {{"after_us",
-        std::to_string((m_context.timers.now() - m_sent_at).count())}});
-  m_context.failure_detector.Lost(m_target, m_input.changes_data(),
-                                  m_context.timers.now());
-  // A statement that commits nothing is rolled back when its answer arrives.
-  // Closing the connection now would waste the instance's work, and opening
-  // another would take one of the instance's slots.
-  if (m_input.changes_data())
-    m_context.pool.Discard(std::move(m_connection));
-  else
-    KeepUntilAnswered(m_batch - 1);
-  if (!m_on_done)
-    return;
-  if (!m_input.repeatable())
-    return FinishUnanswered("no answer in time");
-  m_avoided.insert(m_target);
-  StartAttempt();
-}
-
-void LocalStatementExecution::KeepUntilAnswered(uint64_t batch) {
-  m_timed_out_connections[batch] = std::move(m_connection);
-  m_context.timers.After(kLateReplyTimeout, [self = shared_from_this(), batch] {
-    auto late = self->m_timed_out_connections.extract(batch);
-    if (!late.empty())
-      self->m_context.pool.Discard(std::move(late.mapped()));
-  });
-}
-
-void LocalStatementExecution::HandleLateReplies(
-    uint64_t batch,
-    const Result<std::vector<BackendReply>>& replies) {
-  auto late = m_timed_out_connections.extract(batch);
-  if (late.empty())
-    return;
-  if (!replies)
-    return m_context.pool.Discard(std::move(late.mapped()));
-  m_context.pool.RollBackAndRelease(std::move(late.mapped()),
-                                    replies.value().back().state);
-}
-
-void LocalStatementExecution::FinishUnanswered(const std::string& message) {
-  Finish(ErrorReply(m_input.UnansweredCode(), message));
-}
-
-Duration LocalStatementExecution::ResponseTimeout() const {
-  const Duration target = m_input.route.target_latency;
-  if (m_input.in_transaction())
-    return std::max(kMinTransactionResponseTimeout, target);
-  return std::max(kMinResponseTimeout, Share(target, kResponseTimeoutShare));
-}
-
-void LocalStatementExecution::ConnectionLost(const std::string& message) {
-  ++m_batch;
-  m_context.failure_detector.Lost(m_target, m_input.changes_data(),
-                                  m_context.timers.now());
-  m_context.pool.Discard(std::move(m_connection));
-  if (!m_on_done)
-    return;
-  Log("broken", {{"error", message}});
-  if (m_input.repeatable()) {
-    m_avoided.insert(m_target);
-    return ScheduleAttempt(Duration(0));
-  }
-  FinishUnanswered("the connection broke");
-}
-
 void LocalStatementExecution::StatementReplied(const BackendReply& reply) {
   if (reply.code == ReplyCode::kDone) {
     RenewLeaseByCommit(reply);
@@ -414,21 +296,6 @@
   Finish(std::move(answer));
 }
 
-void LocalStatementExecution::FinishCommit(ClientReply answer) {
-  if (!m_context.confirm_commit || !answer.position)
-    return Acknowledge(answer);
-  const CommitPosition position = *answer.position;
-  m_context.confirm_commit(
-      m_input.route.group, position, m_deadline,
-      [self = shared_from_this(), position,
-       answer = std::move(answer)](bool survives) {
-        if (survives)
-          return self->Acknowledge(answer);
-        self->Log("unconfirmed", {{"position", ToString(position)}});
-        self->FinishUnanswered("the primary was being replaced");
-      });
-}
-
 bool LocalStatementExecution::RetryIfNotRun(const BackendReply& reply) {
   if (!GuaranteesNotRun(reply.code))
     return false;
--- a/libraries/gateway/local_statement_positions.cc
+++ b/libraries/gateway/local_statement_positions.cc
@@ -2,9 +2,53 @@
 #include <utility>
 
 #include "gateway/local_statement_execution.h"
+#include "gateway/read_selection.h"
 
 namespace jackdawturn::gateway {
 
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+
+// The time for which replicas are assumed not to have applied a commit of the
+// session itself.
+constexpr Duration kTypicalReplicationLag = 250ms;
+
+}  // namespace
+
+const BackendServer* LocalStatementExecution::ChooseForRead() {
+  const GroupName& group = m_input.route.group;
+  const TimePoint now = m_context.timers.now();
+  PositionHistory& history = m_context.positions[group];
+  m_required = history.PositionCovering(now - m_input.route.max_staleness +
+                                        kStalenessMargin);
+  bool recently_written = false;
+  if (m_required && m_input.own_commit) {
+    m_required = std::max(*m_required, *m_input.own_commit);
+    const auto seen = history.SeenAt(*m_input.own_commit);
+    recently_written = *m_required == *m_input.own_commit &&
+                       (!seen || *seen + kTypicalReplicationLag > now);
+  }
+  const BackendServer* primary = m_context.directory.Primary(group);
+  std::vector<ReadCandidate> candidates;
+  for (const BackendServer* server : m_context.directory.NonDraining(group)) {
+    const ReplicaProgress& progress = m_context.progress[server->id];
+    const bool same_zone = server->zone == m_context.zone;
+    candidates.push_back(
+        {.id = server->id,
+         .primary = primary && primary->id == server->id,
+         .same_zone = same_zone,
+         .outstanding = m_context.pool.Outstanding(server->id),
+         .unreachable = m_context.pool.Unreachable(server->id) ||
+                        (m_context.isolation.isolated_since() && !same_zone),
+         .applied = progress.applied,
+         .lagging = now < progress.lagging_until});
+  }
+  const auto chosen =
+      ChooseReadInstance(candidates, m_required, recently_written, m_avoided);
+  return chosen ? m_context.directory.Find(*chosen) : nullptr;
+}
+
 bool LocalStatementExecution::lease_suffices() const {
   const GroupName& group = m_input.route.group;
   // A replaced primary cannot have a commit acknowledged that needs a replica.
@@ -100,4 +144,19 @@
                              *committed_after);
 }
 
+void LocalStatementExecution::FinishCommit(ClientReply answer) {
+  if (!m_context.confirm_commit || !answer.position)
+    return Acknowledge(answer);
+  const CommitPosition position = *answer.position;
+  m_context.confirm_commit(
+      m_input.route.group, position, m_deadline,
+      [self = shared_from_this(), position,
+       answer = std::move(answer)](bool survives) {
+        if (survives)
+          return self->Acknowledge(answer);
+        self->Log("unconfirmed", {{"position", ToString(position)}});
+        self->FinishUnanswered("the primary was being replaced");
+      });
+}
+
 }  // namespace jackdawturn::gateway
--- a/libraries/gateway/primary_change.cc
+++ b/libraries/gateway/primary_change.cc
@@ -86,26 +86,6 @@
   return true;
 }
 
-uint64_t PrimaryChange::NewestTerm() const {
-  uint64_t newest = 0;
-  for (const auto& [id, member] : m_members) {
-    if (member.status)
-      newest = std::max(newest, member.status->term);
-  }
-  return newest;
-}
-
-bool PrimaryChange::ChooseSuccessor() {
-  std::vector<PromotionCandidate> non_draining = Replicas();
-  std::erase_if(non_draining,
-                [](const auto& member) { return member.draining; });
-  const auto chosen = ChooseNewPrimary(non_draining);
-  if (!chosen)
-    return false;
-  m_candidate = *chosen;
-  return true;
-}
-
 bool PrimaryChange::OldPrimaryReachable() const {
   const auto old_primary = m_members.find(m_options.old_primary);
   if (old_primary == m_members.end() || !old_primary->second.reachable)
@@ -265,26 +245,6 @@
   });
 }
 
-CommitPosition PrimaryChange::NewestReceived() const {
-  CommitPosition newest;
-  for (const auto& [id, member] : m_members) {
-    if (member.paused && member.status)
-      newest = std::max(newest, member.status->received);
-  }
-  return newest;
-}
-
-bool PrimaryChange::MembersUnchanged() const {
-  const auto present = m_context.directory.All(m_options.group);
-  for (const BackendServer* server : present) {
-    const auto known = m_members.find(server->id);
-    if (known == m_members.end() ||
-        known->second.server.incarnation != server->incarnation)
-      return false;
-  }
-  return true;
-}
-
 void PrimaryChange::Promote() {
   if (m_context.timers.now() >= m_claimed_at + kPromotionTimeLimit) {
     constexpr const char* kOvertaken = "the claim may have been overtaken";
--- a/libraries/gateway/primary_change_members.cc
+++ b/libraries/gateway/primary_change_members.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "gateway/primary_change.h"
@@ -187,4 +188,44 @@
     then(member.status.has_value());
 }
 
+uint64_t PrimaryChange::NewestTerm() const {
+  uint64_t newest = 0;
+  for (const auto& [id, member] : m_members) {
+    if (member.status)
+      newest = std::max(newest, member.status->term);
+  }
+  return newest;
+}
+
+bool PrimaryChange::ChooseSuccessor() {
+  std::vector<PromotionCandidate> non_draining = Replicas();
+  std::erase_if(non_draining,
+                [](const auto& member) { return member.draining; });
+  const auto chosen = ChooseNewPrimary(non_draining);
+  if (!chosen)
+    return false;
+  m_candidate = *chosen;
+  return true;
+}
+
+CommitPosition PrimaryChange::NewestReceived() const {
+  CommitPosition newest;
+  for (const auto& [id, member] : m_members) {
+    if (member.paused && member.status)
+      newest = std::max(newest, member.status->received);
+  }
+  return newest;
+}
+
+bool PrimaryChange::MembersUnchanged() const {
+  const auto present = m_context.directory.All(m_options.group);
+  for (const BackendServer* server : present) {
+    const auto known = m_members.find(server->id);
+    if (known == m_members.end() ||
+        known->second.server.incarnation != server->incarnation)
+      return false;
+  }
+  return true;
+}
+
 }  // namespace jackdawturn::gateway
