Tests: Let the stopped clock of the model stand still

Clocks of processes do not go back. Change: the clock stands still for as long as the suspension lasts. A name in the model's store says what it holds.

--- a/tests/support/replicated_world.cc
+++ b/tests/support/replicated_world.cc
@@ -353,7 +353,7 @@
 
 void ReplicatedWorld::Acknowledged(size_t proxy, uint64_t commit) {
   if (m_store_down || !Connected(m_proxies[proxy]->name, "store") ||
-      m_proxies[proxy]->store.deaf())
+      m_proxies[proxy]->store.watch_answer_lost())
     m_acknowledged_out_of_touch.insert(commit);
   // A promotion may have taken effect while the acknowledgement was on its way.
   const size_t newest = NewestPrimary();
--- a/tests/support/replicated_world_parts.h
+++ b/tests/support/replicated_world_parts.h
@@ -49,7 +49,7 @@
 
   TimePoint now() const override {
     const Duration passed = m_timers.now() - m_start;
-    return m_start + (m_stops ? passed - m_suspended : passed) * m_haste;
+    return m_start + (m_stops ? passed - suspended() : passed) * m_haste;
   }
   TimerId After(Duration delay, std::function<void()> action) override {
     delay /= m_haste;
@@ -73,8 +73,8 @@
                    [this, action] { RunWhenAwake(action); });
   }
   void Suspend(Duration time) {
+    m_suspended = suspended() + time;
     m_resumes_at = m_timers.now() + time;
-    m_suspended += time;
   }
   // Nothing runs any more.
   void Stop() { m_stopped = true; }
@@ -83,6 +83,11 @@
   }
 
  private:
+  // Returns for how long it has been suspended until now.
+  Duration suspended() const {
+    return m_suspended - std::max(m_resumes_at - m_timers.now(), Duration(0));
+  }
+
   void Schedule(TimerId id, Duration delay, std::function<void()> action) {
     m_ids[id] = m_timers.After(delay, [this, id,
                                        action = std::move(action)]() mutable {
@@ -100,6 +105,7 @@
   const int m_haste;
   const TimePoint m_start;
   TimePoint m_resumes_at;
+  // The time of all suspensions, that in progress included to its end.
   Duration m_suspended{0};
   bool m_stopped = false;
   TimerId m_next = 1;
@@ -113,7 +119,7 @@
       : m_world(world), m_proxy(std::move(proxy)), m_timers(timers) {}
 
   // Returns whether the answer to its last watch of the changes was lost.
-  bool deaf() const { return m_deaf; }
+  bool watch_answer_lost() const { return m_watch_answer_lost; }
 
   void List(RecordCollection collection,
             Duration timeout,
@@ -220,7 +226,8 @@
       // A connection on which an answer is lost returns nothing further.
       if (!over && m_world.m_lost_share > 0 &&
           m_world.Chance(m_world.m_lost_share)) {
-        m_deaf = m_deaf || collection == RecordCollection::kPrimaryChanges;
+        m_watch_answer_lost = m_watch_answer_lost ||
+                              collection == RecordCollection::kPrimaryChanges;
         m_world.m_timers.After(
             end - m_world.m_timers.now(), [this, on_changes] {
               m_timers.RunWhenAwake([on_changes] {
@@ -233,7 +240,7 @@
                               ? Result<RecordChanges>(changes)
                               : Error{ErrorCode::kTimeout, "world", "", ""};
       if (result && collection == RecordCollection::kPrimaryChanges)
-        m_deaf = false;
+        m_watch_answer_lost = false;
       return m_timers.RunWhenAwake(
           [on_changes, result] { on_changes(result); });
     }
@@ -246,7 +253,7 @@
   ReplicatedWorld& m_world;
   const std::string m_proxy;
   ProxyTimers& m_timers;
-  bool m_deaf = false;
+  bool m_watch_answer_lost = false;
 };
 
 struct ReplicatedWorld::Proxy {
