Review: Show acknowledged commits that a promotion leaves behind

Cause: an instance whose entry in the store has lapsed is taken as one that receives nothing more, although it may run and count for SyncReplicas.

Nothing of the product changes.

--- /dev/null
+++ b/review/case_group.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "case_store.h"
+
+namespace review {
+
+struct Commit {
+  uint64_t term = 0;
+  // The id of the statement that committed: a single write or a COMMIT.
+  std::string id;
+  std::map<std::string, std::string> writes;
+};
+
+// What an instance ran.
+struct Run {
+  std::string instance;
+  std::string id;
+  std::string text;
+  std::map<std::string, std::string> values;
+};
+
+// Three instances of one service, each on a port of its own. A commit is
+// acknowledged once one replica has received it. Thread-safe.
+class Group {
+ public:
+  static constexpr size_t kInstances = 3;
+  static constexpr Ms kPromoteTime{300};
+
+  struct Options {
+    std::string service = "ledger";
+    size_t connections = 16;
+    Ms work{3};
+    Ms handshake{12};
+    Ms apply_delay{60};
+    Ms heartbeat{1'200};
+  };
+
+  Group(Options options, Store& store);
+
+  // Registers all instances and keeps their entries up to date.
+  void StartHeartbeats();
+  // Carries a promotion out kPromoteTime after the call.
+  bool Promote(const std::string& id);
+
+  std::string IdOf(size_t instance) const;
+  void Crash(size_t instance);
+  // The replica receives nothing while it is deaf.
+  void SetDeaf(size_t instance, bool deaf);
+  // Heartbeats of the instance do not reach the store while it is cut off.
+  void CutFromStore(size_t instance, bool cut);
+  // Returns when the instance's last heartbeat reached the store.
+  Clock::time_point LastHeartbeat(size_t instance);
+  bool Listed(size_t instance);
+  // Replicas do not receive from the instance, and it not from others.
+  void CutFromPeers(size_t instance, bool cut);
+  std::optional<size_t> Primary();
+  uint64_t term();
+  // Returns the ids of the commits in the log of an instance.
+  std::set<std::string> CommitsOf(size_t instance);
+  // Called with what an instance runs; may be null.
+  std::function<void(const Run&)> on_run;
+  // Called when an instance begins to lead, with the ids of the commits in its
+  // log.
+  std::function<void(const std::string& id, const std::set<std::string>& log)>
+      on_promoted;
+
+ private:
+  struct Instance {
+    bool running = true;
+    bool primary = false;
+    bool deaf = false;
+    bool cut_from_store = false;
+    bool cut_from_peers = false;
+    bool listed = false;
+    uint64_t term = 1;
+    uint64_t paused_term = 0;
+    uint64_t heartbeats = 0;
+    size_t connections = 0;
+    std::vector<std::shared_ptr<const Commit>> log;
+    std::vector<Clock::time_point> received_at;
+    Clock::time_point last_heartbeat;
+    std::set<std::shared_ptr<Socket>> sockets;
+    std::unique_ptr<Listener> listener;
+  };
+
+  struct Session {
+    size_t instance = 0;
+    bool in_transaction = false;
+    bool read_only = false;
+    bool failed = false;
+    uint64_t term = 0;
+    std::map<std::string, std::string> writes;
+    std::map<std::string, std::string> values;
+    struct Prepared {
+      bool writes = false;
+      std::string shape;
+    };
+    std::map<std::string, Prepared> prepared;
+  };
+
+  struct Answer {
+    std::string lines;
+    // Nothing is answered: the instance has ended or lost the lead.
+    bool silent = false;
+  };
+
+  using Lock = std::unique_lock<std::mutex>;
+
+  void Serve(size_t index, const std::shared_ptr<Socket>& socket);
+  Answer Execute(Session& session, const std::string& id, std::string text);
+  Answer Error(Session& session, const std::string& code);
+  Answer Admin(Instance& instance, const std::string& text);
+  Answer RunData(Lock& lock,
+                 Session& session,
+                 const std::string& id,
+                 const std::string& text);
+  Answer Append(Lock& lock,
+                Session& session,
+                const std::string& id,
+                std::map<std::string, std::string> writes);
+  void Replicate();
+  bool Received(const Instance& primary, size_t length) const;
+  size_t Applied(const Instance& instance) const;
+  std::string ReadyLine(const Session& session);
+  std::string Position(const Instance& instance, size_t length) const;
+  void Register(size_t index);
+  void HeartbeatLoop(size_t index);
+  void Lead(size_t index);
+
+  const Options m_options;
+  Store& m_store;
+  std::mutex m_mutex;
+  std::condition_variable m_changed;
+  std::vector<Instance> m_instances{kInstances};
+};
+
+}  // namespace review
--- /dev/null
+++ b/review/case_store.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <deque>
+
+#include "case_world.h"
+
+namespace review {
+
+// The platform's store and the promotions, over HTTP/1.1. It answers after
+// 4 ms. Thread-safe.
+class Store {
+ public:
+  // Carries out a promotion whose token was checked; returns false when the
+  // instance does not run.
+  using Promote =
+      std::function<bool(const std::string& service, const std::string& id)>;
+
+  explicit Store(Promote promote);
+  uint16_t port() const { return m_listener->port(); }
+  // Stores an object unless it is the same already.
+  void Put(const std::string& kind,
+           const std::string& name,
+           const std::string& spec);
+  void Remove(const std::string& kind, const std::string& name);
+
+ private:
+  struct Object {
+    uint64_t revision = 0;
+    std::string spec;
+  };
+  struct Event {
+    uint64_t revision = 0;
+    std::string kind;
+    std::string text;
+  };
+  struct Request {
+    std::string method;
+    std::string kind;
+    std::string name;
+    std::map<std::string, std::string> query;
+    std::map<std::string, std::string> headers;
+    std::string body;
+  };
+  struct Answer {
+    int status = 200;
+    std::string body = "{}";
+  };
+
+  void Serve(const std::shared_ptr<Socket>& socket);
+  Answer Handle(const Request& request);
+  Answer List(const std::string& kind);
+  Answer Watch(const std::string& kind, uint64_t revision, Ms wait);
+  Answer Write(const Request& request);
+  Answer PromoteCall(const Request& request);
+  static std::string TextOf(const std::string& name, const Object& object);
+  void Stored(const std::string& kind, const std::string& name, bool removed);
+
+  const Promote m_promote;
+  std::mutex m_mutex;
+  std::condition_variable m_changed;
+  std::map<std::string, std::map<std::string, Object>> m_objects;
+  std::deque<Event> m_events;
+  std::map<std::string, uint64_t> m_tokens;
+  uint64_t m_revision = 1;
+  std::unique_ptr<Listener> m_listener;
+};
+
+}  // namespace review
