Review: Show session values that differ after a rest in a transaction

Cause: a relaying gateway counts a SET as applied to its connection to the holder although the holder has refused it.

Change: case 5, a script; cases 2 and 5 share the check of the values.

--- a/review/case_main.cc
+++ b/review/case_main.cc
@@ -31,7 +31,8 @@
 
 // The gateways, the store and one group, with a configuration of three routes.
 struct Deployment {
-  Deployment(size_t count, Group::Options options) {
+  // With `one_zone`, all gateways are in the same zone.
+  Deployment(size_t count, Group::Options options, bool one_zone = false) {
     char folder[] = "/tmp/review-XXXXXX";
     m_folder = mkdtemp(folder);
     store = std::make_unique<Store>(
@@ -66,8 +67,9 @@
     group->StartHeartbeats();
     const char* const zones[] = {"z-a", "z-b", "z-c"};
     for (size_t index = 0; index < count; ++index) {
-      gateways.push_back(std::make_unique<Gateway>(
-          "frontend-" + std::to_string(index + 1), zones[index % 3], m_folder));
+      gateways.push_back(
+          std::make_unique<Gateway>("frontend-" + std::to_string(index + 1),
+                                    zones[one_zone ? 0 : index % 3], m_folder));
       gateways.back()->Start(store->port());
     }
   }
@@ -268,6 +270,50 @@
                      std::to_string(machines) + " of 3 machines");
 }
 
+// Compares the session values of each statement that an instance runs for one
+// client with those that were acknowledged to this client.
+class ValueCheck {
+ public:
+  ValueCheck(Group& group, const std::string& client) {
+    group.on_run = [this, prefix = client](const Run& run) {
+      if (run.id.starts_with(prefix))
+        Check(run);
+    };
+  }
+
+  void Acknowledged(const std::string& name, const std::string& value) {
+    const std::lock_guard lock(m_mutex);
+    m_values[name] = value;
+  }
+
+  int Verdict() {
+    const std::lock_guard lock(m_mutex);
+    return review::Verdict(m_differ > 0,
+                           "PINNED: of " + std::to_string(m_runs) +
+                               " statements of the client, " +
+                               std::to_string(m_differ) +
+                               " ran with other session values than those that "
+                               "were acknowledged to it");
+  }
+
+ private:
+  void Check(const Run& run) {
+    const std::lock_guard lock(m_mutex);
+    std::string text;
+    for (const auto& [name, value] : run.values)
+      text.append(" ").append(name).append("=").append(value);
+    Note(run.instance + " runs " + run.id + " " + run.text +
+         ", values of the connection:" + text);
+    ++m_runs;
+    m_differ += run.values != m_values ? 1 : 0;
+  }
+
+  std::mutex m_mutex;
+  std::map<std::string, std::string> m_values;
+  size_t m_runs = 0;
+  size_t m_differ = 0;
+};
+
 // The primary loses the lead while a client's transaction is open; the client
 // sets a session value in it.
 int RunSessionValue() {
@@ -275,32 +321,16 @@
   Group& group = *deployment.group;
   if (!deployment.AwaitService())
     return NotRun("no service");
-  std::mutex mutex;
-  // The values that the client's session has, by their acknowledgement.
-  std::map<std::string, std::string> values;
-  std::string broken;
-  group.on_run = [&](const Run& run) {
-    if (!run.id.starts_with("c1x"))
-      return;
-    const std::lock_guard lock(mutex);
-    std::string text;
-    for (const auto& [name, value] : run.values)
-      text.append(" ").append(name).append("=").append(value);
-    Note(run.instance + " runs " + run.id + " " + run.text +
-         ", values of the connection:" + text);
-    if (run.values != values && broken.empty())
-      broken = run.id;
-  };
+  ValueCheck check(group, "c1x");
   const Gateway& gateway = *deployment.gateways.front();
   const Sender writer("w", gateway, "WRITE item data");
   const Sender reader("r", gateway, "READ item");
   Client client("c1", gateway);
   const auto set = [&](const std::string& value) {
-    if (!client.Query("SET tenant " + value).done)
-      return false;
-    const std::lock_guard lock(mutex);
-    values["tenant"] = value;
-    return true;
+    const bool done = client.Query("SET tenant " + value).done;
+    if (done)
+      check.Acknowledged("tenant", value);
+    return done;
   };
   Sleep(Ms(1'500));
   if (!client.Open(kSessionDatabase) || !set("t1") ||
@@ -335,11 +365,43 @@
   if (Trouble())
     group.CutFromPeers(*primary, false);
   read_until(cut_at + Ms(7'000));
-  const std::lock_guard lock(mutex);
-  return Verdict(!broken.empty(),
-                 "PINNED: session values at the instance differ from those "
-                 "acknowledged to the client; first for: " +
-                     broken);
+  return check.Verdict();
+}
+
+// A client rests in a transaction for longer than TxIdleMs at a gateway that
+// relays its statements, after it has set a session value in it.
+int RunRelayedRest() {
+  constexpr size_t kGateways = 3;
+  Group::Options options;
+  // Fewer than two for each gateway, so that one gateway holds them.
+  options.connections = 4;
+  Deployment deployment(kGateways, options, true);
+  if (!deployment.AwaitService())
+    return NotRun("no service");
+  Sleep(Ms(2'000));
+  ValueCheck check(*deployment.group, "c-");
+  for (const auto& gateway : deployment.gateways) {
+    Client client("c-" + gateway->name(), *gateway);
+    const auto set = [&](const std::string& value) {
+      const bool done = client.Query("SET tenant " + value).done;
+      if (done)
+        check.Acknowledged("tenant", value);
+      return done;
+    };
+    if (!client.Open(kSessionDatabase) || !set("t1") ||
+        !client.Query("READ item").done || !client.Query("BEGIN").done ||
+        !client.Query("READ item").done || !set("t2"))
+      return NotRun("no transaction");
+    Sleep(Trouble() ? Ms(3'500) : Ms(500));
+    client.Query("READ item");
+    client.Query("ROLLBACK");
+    for (unsigned count = 0; count < 10; ++count)
+      client.Query("READ item");
+    client.Close();
+    // Idle connections between gateways end after 5 s.
+    Sleep(Ms(6'000));
+  }
+  return check.Verdict();
 }
 
 // A replica whose entry has lapsed, but which still receives, has the only copy
@@ -415,6 +477,8 @@
     return RunFlood();
   if (name == "session-value")
     return RunSessionValue();
+  if (name == "relayed-rest")
+    return RunRelayedRest();
   if (name == "unlisted-replica")
     return RunUnlistedReplica();
   return NotRun("no such case");
