Review: Show commits that a promotion right after an outage leaves behind

Cause: a change of primary considers the instances that the gateway knew before the outage of the store; one that has started since then is not asked.

The replica that is cut off from the store stays as a second way to the same fault.

--- a/review/case_group.cc
+++ b/review/case_group.cc
@@ -27,22 +27,41 @@
     : m_options(std::move(options)), m_store(store) {
   m_instances[0].primary = true;
   for (size_t index = 0; index < kInstances; ++index)
-    m_instances[index].listener = std::make_unique<Listener>(
-        "127.0.0.1", 0, [this, index](const std::shared_ptr<Socket>& socket) {
-          Serve(index, socket);
-        });
+    m_instances[index].listener = Listen(index);
+}
+
+std::unique_ptr<Listener> Group::Listen(size_t index) {
+  return std::make_unique<Listener>(
+      "127.0.0.1", 0, [this, index](const std::shared_ptr<Socket>& socket) {
+        Serve(index, socket);
+      });
+}
+
+void Group::StartAnew(size_t index) {
+  auto listener = Listen(index);
+  const Lock lock(m_mutex);
+  Instance& instance = m_instances[index];
+  const unsigned generation = instance.generation + 1;
+  instance = Instance();
+  instance.generation = generation;
+  instance.listener = std::move(listener);
+  Note(IdOf(index) + " starts with an empty log");
+  Replicate();
+  m_changed.notify_all();
 }
 
 std::string Group::IdOf(size_t instance) const {
-  return "i-" + m_options.service + "-" + std::to_string(instance);
+  const std::string id = "i-" + m_options.service + std::to_string(instance);
+  return id + "-" + std::to_string(m_instances[instance].generation);
 }
 
 void Group::Register(size_t index) {
   std::string spec;
+  std::string id;
   {
     const Lock lock(m_mutex);
     Instance& instance = m_instances[index];
-    if (!instance.running || instance.cut_from_store)
+    if (!instance.running || instance.cut_from_store || m_store.silent())
       return;
     instance.last_heartbeat = Clock::now();
     instance.listed = true;
@@ -53,9 +72,11 @@
            "\",\"Version\":\"v1\",\"Capacity\":2,\"State\":\"ready\","
            "\"WarmupLeftMs\":0,\"DbRole\":\"" +
            (instance.primary ? "primary" : "replica") +
-           "\",\"SeqNo\":1,\"born\":" + std::to_string(1'000 + index) + "}";
+           "\",\"SeqNo\":1,\"born\":" +
+           std::to_string(1'000 + index + 10 * instance.generation) + "}";
+    id = IdOf(index);
   }
-  m_store.Put("servers", IdOf(index), spec);
+  m_store.Put("servers", id, spec);
 }
 
 void Group::HeartbeatLoop(size_t index) {
@@ -67,6 +88,9 @@
       Sleep(Ms(10));
       const Lock lock(m_mutex);
       Instance& instance = m_instances[index];
+      // No entry lapses while the store is down.
+      if (m_store.silent())
+        instance.last_heartbeat += Ms(10);
       if (instance.listed &&
           Clock::now() - instance.last_heartbeat > 3 * m_options.heartbeat) {
         instance.listed = false;
--- a/review/case_group.h
+++ b/review/case_group.h
@@ -44,6 +44,9 @@
 
   std::string IdOf(size_t instance) const;
   void Crash(size_t instance);
+  // An instance that has crashed starts again, as one that knows nothing of
+  // before: with another id, at another port.
+  void StartAnew(size_t instance);
   // The replica receives nothing while it is deaf.
   void SetDeaf(size_t instance, bool deaf);
   // Heartbeats of the instance do not reach the store while it is cut off.
@@ -74,7 +77,8 @@
     bool listed = false;
     uint64_t term = 1;
     uint64_t paused_term = 0;
-    uint64_t heartbeats = 0;
+    // How often it has started.
+    unsigned generation = 0;
     size_t connections = 0;
     std::vector<std::shared_ptr<const Commit>> log;
     std::vector<Clock::time_point> received_at;
@@ -123,6 +127,7 @@
   size_t Applied(const Instance& instance) const;
   std::string ReadyLine(const Session& session);
   std::string Position(const Instance& instance, size_t length) const;
+  std::unique_ptr<Listener> Listen(size_t index);
   void Register(size_t index);
   void HeartbeatLoop(size_t index);
   void Lead(size_t index);
--- a/review/case_main.cc
+++ b/review/case_main.cc
@@ -404,6 +404,99 @@
   return check.Verdict();
 }
 
+// What instances lack when they begin to lead, of the commits that were
+// acknowledged to `first` and `second`.
+class LossCheck {
+ public:
+  LossCheck(Group& group, Sender& first, Sender& second)
+      : m_first(first), m_second(second) {
+    group.on_promoted = [this](const std::string& id,
+                               const std::set<std::string>& log) {
+      Promoted(id, log);
+    };
+  }
+
+  int Verdict() {
+    const std::lock_guard lock(m_mutex);
+    if (!m_promoted)
+      Note("no instance was promoted");
+    return review::Verdict(m_missing > 0,
+                           "LOST: " + std::to_string(m_missing) +
+                               " acknowledged commits are not in the log of "
+                               "the instance that was promoted");
+  }
+
+ private:
+  void Promoted(const std::string& id, const std::set<std::string>& log) {
+    std::set<std::string> acknowledged = m_first.Acknowledged();
+    acknowledged.merge(m_second.Acknowledged());
+    const std::lock_guard lock(m_mutex);
+    m_promoted = true;
+    for (const std::string& commit : acknowledged) {
+      if (log.contains(commit))
+        continue;
+      ++m_missing;
+      Note(id + " leads and lacks the acknowledged commit " + commit);
+    }
+  }
+
+  Sender& m_first;
+  Sender& m_second;
+  std::mutex m_mutex;
+  bool m_promoted = false;
+  size_t m_missing = 0;
+};
+
+// A replica that has started while the store was down has the only copy of
+// acknowledged commits when the primary crashes.
+int RunNewReplica() {
+  constexpr size_t kDeaf = 1;
+  constexpr size_t kReplaced = 2;
+  // As a control, OUTAGE=0 leaves out the outage of the store alone.
+  const char* value = getenv("OUTAGE");
+  const bool outage = Trouble() && !(value && std::string(value) == "0");
+  Deployment deployment(2, {});
+  Group& group = *deployment.group;
+  if (!deployment.AwaitService())
+    return NotRun("no service");
+  const Gateway& one = *deployment.gateways[0];
+  const Gateway& two = *deployment.gateways[1];
+  Sender first("w1", one, "WRITE item data");
+  Sender second("w2", two, "WRITE item data");
+  const Sender reader("r1", one, "READ item");
+  const Sender other_reader("r2", two, "READ item");
+  LossCheck check(group, first, second);
+  Sleep(Ms(2'000));
+  if (group.Primary() != 0)
+    return NotRun("another primary");
+  const auto start = Clock::now();
+  const auto await = [&](Ms time) {
+    std::this_thread::sleep_until(start + time);
+  };
+  if (Trouble())
+    group.Crash(kReplaced);
+  await(Ms(5'750));
+  if (outage)
+    deployment.store->SetSilent(true);
+  await(Ms(5'870));
+  if (Trouble())
+    group.StartAnew(kReplaced);
+  await(Ms(6'600));
+  if (Trouble())
+    group.SetDeaf(kDeaf, true);
+  await(Ms(10'000));
+  if (Trouble())
+    group.Crash(0);
+  await(Ms(10'250));
+  if (outage)
+    deployment.store->SetSilent(false);
+  await(Ms(13'100));
+  if (Trouble())
+    group.SetDeaf(kDeaf, false);
+  await(Ms(14'000));
+  return check.Verdict();
+}
+
 // A replica whose entry has lapsed, but which still receives, has the only copy
 // of acknowledged commits when the primary crashes.
 int RunUnlistedReplica() {
@@ -422,22 +515,7 @@
   Sender second("w2", two, "WRITE item data");
   const Sender reader("r1", one, "READ item");
   const Sender other_reader("r2", two, "READ item");
-  std::mutex mutex;
-  size_t missing = 0;
-  std::string promoted;
-  group.on_promoted = [&](const std::string& id,
-                          const std::set<std::string>& log) {
-    std::set<std::string> acknowledged = first.Acknowledged();
-    acknowledged.merge(second.Acknowledged());
-    const std::lock_guard lock(mutex);
-    promoted = id;
-    for (const std::string& commit : acknowledged) {
-      if (log.contains(commit))
-        continue;
-      ++missing;
-      Note(id + " leads and lacks the acknowledged commit " + commit);
-    }
-  };
+  LossCheck check(group, first, second);
   Sleep(Ms(2'000));
   if (group.Primary() != 0)
     return NotRun("another primary");
@@ -462,12 +540,7 @@
   std::this_thread::sleep_until(cut_at + Ms(11'700));
   if (Trouble())
     group.SetDeaf(kDeaf, false);
-  const std::lock_guard lock(mutex);
-  if (promoted.empty())
-    Note("no instance was promoted");
-  return Verdict(missing > 0, "LOST: " + std::to_string(missing) +
-                                  " acknowledged commits are not in the log "
-                                  "of the instance that was promoted");
+  return check.Verdict();
 }
 
 int RunCase(const std::string& name) {
@@ -479,6 +552,8 @@
     return RunSessionValue();
   if (name == "relayed-rest")
     return RunRelayedRest();
+  if (name == "new-replica")
+    return RunNewReplica();
   if (name == "unlisted-replica")
     return RunUnlistedReplica();
   return NotRun("no such case");
--- a/review/case_store.cc
+++ b/review/case_store.cc
@@ -98,6 +98,13 @@
   m_objects[kind].erase(name);
 }
 
+void Store::SetSilent(bool silent) {
+  if (silent)
+    ++m_outages;
+  m_silent = silent;
+  Note(silent ? "the store is silent" : "the store answers again");
+}
+
 void Store::Serve(const std::shared_ptr<Socket>& socket) {
   constexpr Ms kIdle{600'000};
   std::string line;
@@ -127,6 +134,10 @@
       request.query[field.substr(0, equal)] =
           equal == std::string::npos ? "" : field.substr(equal + 1);
     }
+    const unsigned outages = m_outages;
+    // A connection on which an answer is lost returns nothing further.
+    if (m_silent && path != "/promotion")
+      break;
     Answer answer;
     if (path == "/promotion") {
       answer = PromoteCall(request);
@@ -142,6 +153,8 @@
       answer.status = 404;
     }
     Sleep(kAnswerTime);
+    if (outages != m_outages && path != "/promotion")
+      break;
     if (!socket->Write("HTTP/1.1 " + std::to_string(answer.status) +
                        " Status\r\nContent-Type: application/json\r\n"
                        "Content-Length: " +
@@ -149,6 +162,9 @@
                        answer.body))
       return;
   }
+  // Nothing comes on this connection any more, but it stays open.
+  while (socket->ReadLine(line, kIdle)) {
+  }
 }
 
 Store::Answer Store::Handle(const Request& request) {
--- a/review/case_store.h
+++ b/review/case_store.h
@@ -22,6 +22,9 @@
            const std::string& name,
            const std::string& spec);
   void Remove(const std::string& kind, const std::string& name);
+  // While the store is silent it answers nothing, and nothing is done.
+  void SetSilent(bool silent);
+  bool silent() const { return m_silent; }
 
  private:
   struct Object {
@@ -62,6 +65,9 @@
   std::deque<Event> m_events;
   std::map<std::string, uint64_t> m_tokens;
   uint64_t m_revision = 1;
+  std::atomic<bool> m_silent{false};
+  // Counts the outages; calls of an earlier time are never answered.
+  std::atomic<unsigned> m_outages{0};
   std::unique_ptr<Listener> m_listener;
 };
 
