Review: Show commits passed on by a gateway that hears of no claim

Cause: a gateway takes a group without a known claim as one whose primary isn't being changed, also while it can't read the claims.

The flood of case 5 starts with a READ of 110 ms, as it depended on the load of the machine before.

--- a/review/case_client.h
+++ b/review/case_client.h
@@ -34,6 +34,8 @@
   // The id of the last statement.
   const std::string& last_id() const { return m_last_id; }
   void Close();
+  // Ends the connection; another thread may still be sending.
+  void Shut() { m_socket->Shut(); }
   // Whether statements and answers are written to the record.
   bool recorded = true;
 
--- a/review/case_group.cc
+++ b/review/case_group.cc
@@ -23,28 +23,64 @@
 
 }  // namespace
 
-Group::Group(Options options, Store& store)
-    : m_options(std::move(options)), m_store(store) {
+Group::Group(Options options, Store& store, size_t gateways)
+    : m_options(std::move(options)), m_store(store), m_gateways(gateways) {
   m_instances[0].primary = true;
   for (size_t index = 0; index < kInstances; ++index)
-    m_instances[index].listener = Listen(index);
+    m_instances[index].listeners = Listen(index);
 }
 
-std::unique_ptr<Listener> Group::Listen(size_t index) {
-  return std::make_unique<Listener>(
-      "127.0.0.1", 0, [this, index](const std::shared_ptr<Socket>& socket) {
-        Serve(index, socket);
-      });
+std::vector<std::unique_ptr<Listener>> Group::Listen(size_t index) {
+  std::vector<std::unique_ptr<Listener>> listeners;
+  for (size_t gateway = 0; gateway < m_gateways; ++gateway)
+    listeners.push_back(std::make_unique<Listener>(
+        "127.0.0.1", 0,
+        [this, index, gateway](const std::shared_ptr<Socket>& socket) {
+          Serve(index, gateway, socket);
+        }));
+  return listeners;
+}
+
+std::string Group::WithAddresses(std::string text, size_t gateway) {
+  const Lock lock(m_mutex);
+  for (size_t index = 0; index < kInstances; ++index) {
+    const std::string mark = "@" + std::to_string(index) + "@";
+    const std::string address =
+        "127.0.0.1:" +
+        std::to_string(m_instances[index].listeners[gateway]->port());
+    for (size_t at = text.find(mark); at != std::string::npos;
+         at = text.find(mark))
+      text.replace(at, mark.size(), address);
+  }
+  return text;
+}
+
+void Group::CutFromGateway(size_t instance, size_t gateway, bool cut) {
+  const Lock lock(m_mutex);
+  if (cut)
+    m_instances[instance].cut_from.insert(gateway);
+  else
+    m_instances[instance].cut_from.erase(gateway);
+  m_changed.notify_all();
+  Note(IdOf(instance) +
+       (cut ? " is cut off from gateway " : " is reached again by gateway ") +
+       std::to_string(gateway + 1));
+}
+
+void Group::AwaitPath(size_t index, size_t gateway) {
+  Lock lock(m_mutex);
+  m_changed.wait(
+      lock, [&] { return !m_instances[index].cut_from.contains(gateway); });
 }
 
 void Group::StartAnew(size_t index) {
-  auto listener = Listen(index);
+  auto listeners = Listen(index);
   const Lock lock(m_mutex);
   Instance& instance = m_instances[index];
   const unsigned generation = instance.generation + 1;
   instance = Instance();
   instance.generation = generation;
-  instance.listener = std::move(listener);
+  instance.listeners = std::move(listeners);
   Note(IdOf(index) + " starts with an empty log");
   Replicate();
   m_changed.notify_all();
@@ -66,9 +102,8 @@
     instance.last_heartbeat = Clock::now();
     instance.listed = true;
     // The count of heartbeats is left out: by itself it is no change.
-    spec = "{\"Service\":\"" + m_options.service + "\",\"Addr\":\"127.0.0.1:" +
-           std::to_string(instance.listener->port()) + "\",\"Zone\":\"" +
-           kZones[index % 3] +
+    spec = "{\"Service\":\"" + m_options.service + "\",\"Addr\":\"@" +
+           std::to_string(index) + "@\",\"Zone\":\"" + kZones[index % 3] +
            "\",\"Version\":\"v1\",\"Capacity\":2,\"State\":\"ready\","
            "\"WarmupLeftMs\":0,\"DbRole\":\"" +
            (instance.primary ? "primary" : "replica") +
@@ -125,7 +160,7 @@
       return false;
     if (!m_instances[index].primary)
       std::thread([this, index] {
-        Sleep(kPromoteTime);
+        Sleep(m_options.promote_time);
         Lead(index);
       }).detach();
     return true;
@@ -329,7 +364,7 @@
                              const std::string& id,
                              const std::string& text) {
   lock.unlock();
-  Sleep(m_options.work);
+  Sleep(text.ends_with(" slow") ? m_options.longest_work : m_options.work);
   lock.lock();
   Instance& instance = m_instances[session.instance];
   if (!instance.running)
@@ -401,7 +436,9 @@
   return {Done("s-" + id)};
 }
 
-void Group::Serve(size_t index, const std::shared_ptr<Socket>& socket) {
+void Group::Serve(size_t index,
+                  size_t gateway,
+                  const std::shared_ptr<Socket>& socket) {
   constexpr Ms kIdle{600'000};
   Session session;
   session.instance = index;
@@ -424,6 +461,7 @@
   TakeWord(rest);
   const std::string service = TakeWord(rest);
   TakeWord(rest);
+  AwaitPath(index, gateway);
   Sleep(m_options.handshake);
   if (service != m_options.service || (!rest.empty() && rest != IdOf(index))) {
     socket->Write("ERROR MISROUTED " + IdOf(index) + "\r\n");
@@ -447,7 +485,9 @@
     if (TakeWord(rest) != "QUERY")
       break;
     const std::string id = TakeWord(rest);
+    AwaitPath(index, gateway);
     const Answer answer = Execute(session, id, rest);
+    AwaitPath(index, gateway);
     if (answer.silent)
       break;
     std::string text = answer.lines;
@@ -466,7 +506,8 @@
 void Group::Crash(size_t instance) {
   const Lock lock(m_mutex);
   m_instances[instance].running = false;
-  m_instances[instance].listener->Close();
+  for (const auto& listener : m_instances[instance].listeners)
+    listener->Close();
   m_instances[instance].paused_term = 0;
   for (const auto& socket : m_instances[instance].sockets)
     socket->Shut();
--- a/review/case_group.h
+++ b/review/case_group.h
@@ -24,22 +24,29 @@
 class Group {
  public:
   static constexpr size_t kInstances = 3;
-  static constexpr Ms kPromoteTime{300};
 
   struct Options {
     std::string service = "ledger";
     size_t connections = 16;
     Ms work{3};
+    // Of statements on the item "slow".
+    Ms longest_work{110};
     Ms handshake{12};
     Ms apply_delay{60};
+    Ms promote_time{300};
     Ms heartbeat{1'200};
   };
 
-  Group(Options options, Store& store);
+  Group(Options options, Store& store, size_t gateways);
+
+  // Replaces the marks for addresses by those that the gateway uses.
+  std::string WithAddresses(std::string text, size_t gateway);
+  // The gateway and the instance don't hear from each other.
+  void CutFromGateway(size_t instance, size_t gateway, bool cut);
 
   // Registers all instances and keeps their entries up to date.
   void StartHeartbeats();
-  // Carries a promotion out kPromoteTime after the call.
+  // Carries a promotion out Options::promote_time after the call.
   bool Promote(const std::string& id);
 
   std::string IdOf(size_t instance) const;
@@ -84,7 +91,9 @@
     std::vector<Clock::time_point> received_at;
     Clock::time_point last_heartbeat;
     std::set<std::shared_ptr<Socket>> sockets;
-    std::unique_ptr<Listener> listener;
+    // One for each gateway.
+    std::vector<std::unique_ptr<Listener>> listeners;
+    std::set<size_t> cut_from;
   };
 
   struct Session {
@@ -110,7 +119,11 @@
 
   using Lock = std::unique_lock<std::mutex>;
 
-  void Serve(size_t index, const std::shared_ptr<Socket>& socket);
+  void Serve(size_t index,
+             size_t gateway,
+             const std::shared_ptr<Socket>& socket);
+  // Waits while the path between the two is cut.
+  void AwaitPath(size_t index, size_t gateway);
   Answer Execute(Session& session, const std::string& id, std::string text);
   Answer Error(Session& session, const std::string& code);
   Answer Admin(Instance& instance, const std::string& text);
@@ -127,13 +140,14 @@
   size_t Applied(const Instance& instance) const;
   std::string ReadyLine(const Session& session);
   std::string Position(const Instance& instance, size_t length) const;
-  std::unique_ptr<Listener> Listen(size_t index);
+  std::vector<std::unique_ptr<Listener>> Listen(size_t index);
   void Register(size_t index);
   void HeartbeatLoop(size_t index);
   void Lead(size_t index);
 
   const Options m_options;
   Store& m_store;
+  const size_t m_gateways;
   std::mutex m_mutex;
   std::condition_variable m_changed;
   std::vector<Instance> m_instances{kInstances};
--- a/review/case_main.cc
+++ b/review/case_main.cc
@@ -36,12 +36,19 @@
     char folder[] = "/tmp/review-XXXXXX";
     m_folder = mkdtemp(folder);
     store = std::make_unique<Store>(
+        count,
         [this](const std::string&, const std::string& id) {
-          return group->Promote(id);
+          const bool accepted = group->Promote(id);
+          if (accepted && on_promotion)
+            on_promotion(id);
+          return accepted;
+        },
+        [this](std::string body, size_t gateway) {
+          return group->WithAddresses(std::move(body), gateway);
         });
     const std::string service = options.service;
     const std::string connections = std::to_string(options.connections);
-    group = std::make_unique<Group>(std::move(options), *store);
+    group = std::make_unique<Group>(std::move(options), *store, count);
     const auto route = [&](const std::string& database,
                            const std::string& rest) {
       return "{\"Name\":\"r-" + database + "\",\"Host\":\"" + database +
@@ -70,7 +77,7 @@
       gateways.push_back(
           std::make_unique<Gateway>("frontend-" + std::to_string(index + 1),
                                     zones[one_zone ? 0 : index % 3], m_folder));
-      gateways.back()->Start(store->port());
+      gateways.back()->Start(store->port(index));
     }
   }
   ~Deployment() {
@@ -104,6 +111,8 @@
   std::unique_ptr<Store> store;
   std::unique_ptr<Group> group;
   std::vector<std::unique_ptr<Gateway>> gateways;
+  // Called with the instance of a promotion that was accepted; may be null.
+  std::function<void(const std::string& id)> on_promotion;
 
  private:
   std::string m_folder;
@@ -228,7 +237,7 @@
       if (!bystander.Open(kPrimaryDatabase) || !flood.Open(kPrimaryDatabase))
         return NotRun("no session");
       if (Trouble()) {
-        std::string lines = "QUERY " + flood.NewId() + " READ item\r\n";
+        std::string lines = "QUERY " + flood.NewId() + " READ slow\r\n";
         for (size_t count = 0; count < kStatements; ++count)
           lines.append("QUERY " + flood.NewId() + " SET tenant t1\r\n");
         Note("f" + suffix + " sends to " + gateway.name() + ": one READ and " +
@@ -240,11 +249,12 @@
         size_t answers = 0;
         while (answers <= kStatements && flood.ReadReply(Ms(3'000)).answered)
           ++answers;
-        flood.Close();
+        flood.Shut();
         sender.join();
+        flood.Close();
         Note("f" + suffix + " got " + std::to_string(answers) + " answers");
       } else {
-        flood.Query("READ item");
+        flood.Query("READ slow");
         for (size_t count = 0; count < kSlowStatements; ++count)
           flood.Query("SET tenant t1");
         Note("f" + suffix + " sent to " + gateway.name() + ": one READ and " +
@@ -255,7 +265,7 @@
       if (const auto end = gateway.Ended()) {
         ++ends[index];
         Note(gateway.name() + " has ended by itself: " + *end);
-        gateway.Start(deployment.store->port());
+        gateway.Start(deployment.store->port(index));
       }
     }
     if (!deployment.AwaitService())
@@ -497,6 +507,49 @@
   return check.Verdict();
 }
 
+// A replica restarts while the promotion of another one is carried out; a
+// gateway that doesn't reach the store passes on what the old primary then
+// acknowledges.
+int RunUnheardClaim() {
+  constexpr size_t kClaimant = 0;
+  constexpr size_t kCutOff = 1;
+  Group::Options options;
+  options.promote_time = Ms(600);
+  Deployment deployment(3, options);
+  Group& group = *deployment.group;
+  if (!deployment.AwaitService())
+    return NotRun("no service");
+  Sender first("w1", *deployment.gateways[kCutOff], "WRITE item data");
+  Sender second("w2", *deployment.gateways[kClaimant], "WRITE item data");
+  LossCheck check(group, first, second);
+  std::atomic<bool> called = false;
+  deployment.on_promotion = [&](const std::string& id) {
+    if (Trouble() && !called.exchange(true))
+      std::thread([&group, replica = id == group.IdOf(1) ? 2 : 1] {
+        // The other replica is down for 100 ms.
+        Sleep(Ms(50));
+        group.Crash(replica);
+        Sleep(Ms(100));
+        group.StartAnew(replica);
+      }).detach();
+  };
+  Sleep(Ms(2'000));
+  if (group.Primary() != 0)
+    return NotRun("another primary");
+  const auto start = Clock::now();
+  if (Trouble()) {
+    deployment.store->CutOff(kCutOff, true);
+    group.CutFromGateway(0, kClaimant, true);
+  }
+  std::this_thread::sleep_until(start + Ms(5'000));
+  if (Trouble()) {
+    group.CutFromGateway(0, kClaimant, false);
+    deployment.store->CutOff(kCutOff, false);
+  }
+  Sleep(Ms(2'000));
+  return check.Verdict();
+}
+
 // A replica whose entry has lapsed, but which still receives, has the only copy
 // of acknowledged commits when the primary crashes.
 int RunUnlistedReplica() {
@@ -554,6 +607,8 @@
     return RunRelayedRest();
   if (name == "new-replica")
     return RunNewReplica();
+  if (name == "unheard-claim")
+    return RunUnheardClaim();
   if (name == "unlisted-replica")
     return RunUnlistedReplica();
   return NotRun("no such case");
--- a/review/case_store.cc
+++ b/review/case_store.cc
@@ -53,12 +53,29 @@
 
 }  // namespace
 
-Store::Store(Promote promote)
-    : m_promote(std::move(promote)),
-      m_listener(std::make_unique<Listener>(
-          "127.0.0.1",
-          0,
-          [this](const std::shared_ptr<Socket>& socket) { Serve(socket); })) {}
+Store::Store(size_t gateways, Promote promote, Rewrite rewrite)
+    : m_promote(std::move(promote)), m_rewrite(std::move(rewrite)) {
+  for (size_t gateway = 0; gateway < gateways; ++gateway)
+    m_listeners.push_back(std::make_unique<Listener>(
+        "127.0.0.1", 0, [this, gateway](const std::shared_ptr<Socket>& socket) {
+          Serve(socket, gateway);
+        }));
+}
+
+void Store::CutOff(size_t gateway, bool cut) {
+  const std::lock_guard lock(m_mutex);
+  if (cut)
+    m_cut.insert(gateway);
+  else
+    m_cut.erase(gateway);
+  Note("gateway " + std::to_string(gateway + 1) +
+       (cut ? " is cut off from the store" : " reaches the store again"));
+}
+
+bool Store::Answers(size_t gateway, bool promotion) {
+  const std::lock_guard lock(m_mutex);
+  return promotion || (!m_silent && !m_cut.contains(gateway));
+}
 
 std::string Store::TextOf(const std::string& name, const Object& object) {
   return "{\"meta\":{\"Name\":\"" + name +
@@ -105,7 +122,7 @@
   Note(silent ? "the store is silent" : "the store answers again");
 }
 
-void Store::Serve(const std::shared_ptr<Socket>& socket) {
+void Store::Serve(const std::shared_ptr<Socket>& socket, size_t gateway) {
   constexpr Ms kIdle{600'000};
   std::string line;
   while (socket->ReadLine(line, kIdle)) {
@@ -136,7 +153,7 @@
     }
     const unsigned outages = m_outages;
     // A connection on which an answer is lost returns nothing further.
-    if (m_silent && path != "/promotion")
+    if (!Answers(gateway, path == "/promotion"))
       break;
     Answer answer;
     if (path == "/promotion") {
@@ -153,8 +170,10 @@
       answer.status = 404;
     }
     Sleep(kAnswerTime);
-    if (outages != m_outages && path != "/promotion")
+    if ((outages != m_outages && path != "/promotion") ||
+        !Answers(gateway, path == "/promotion"))
       break;
+    answer.body = m_rewrite(std::move(answer.body), gateway);
     if (!socket->Write("HTTP/1.1 " + std::to_string(answer.status) +
                        " Status\r\nContent-Type: application/json\r\n"
                        "Content-Length: " +
--- a/review/case_store.h
+++ b/review/case_store.h
@@ -15,8 +15,14 @@
   using Promote =
       std::function<bool(const std::string& service, const std::string& id)>;
 
-  explicit Store(Promote promote);
-  uint16_t port() const { return m_listener->port(); }
+  // Replaces the marks in an answer to a gateway by what it sees there.
+  using Rewrite = std::function<std::string(std::string body, size_t gateway)>;
+
+  // Each gateway has a port of its own.
+  Store(size_t gateways, Promote promote, Rewrite rewrite);
+  uint16_t port(size_t gateway) const { return m_listeners[gateway]->port(); }
+  // The store answers nothing to the gateway while it is cut off.
+  void CutOff(size_t gateway, bool cut);
   // Stores an object unless it is the same already.
   void Put(const std::string& kind,
            const std::string& name,
@@ -49,7 +55,8 @@
     std::string body = "{}";
   };
 
-  void Serve(const std::shared_ptr<Socket>& socket);
+  void Serve(const std::shared_ptr<Socket>& socket, size_t gateway);
+  bool Answers(size_t gateway, bool promotion);
   Answer Handle(const Request& request);
   Answer List(const std::string& kind);
   Answer Watch(const std::string& kind, uint64_t revision, Ms wait);
@@ -59,6 +66,7 @@
   void Stored(const std::string& kind, const std::string& name, bool removed);
 
   const Promote m_promote;
+  const Rewrite m_rewrite;
   std::mutex m_mutex;
   std::condition_variable m_changed;
   std::map<std::string, std::map<std::string, Object>> m_objects;
@@ -68,7 +76,9 @@
   std::atomic<bool> m_silent{false};
   // Counts the outages; calls of an earlier time are never answered.
   std::atomic<unsigned> m_outages{0};
-  std::unique_ptr<Listener> m_listener;
+  // Gateways that are cut off.
+  std::set<size_t> m_cut;
+  std::vector<std::unique_ptr<Listener>> m_listeners;
 };
 
 }  // namespace review
