Platform: End lines at CR LF only

What callers saw: a client's line whose data hold a LF was split there, and the rest ran at the instance as a statement of its own.

Cause: LineStream ended a line at LF and stripped a CR before it; instances end lines at CR LF. Two readers of the same bytes saw different messages. The same reader serves clients, instances and connections between gateways, so one end of line now holds for all, in both directions. A CR alone, a LF alone, and a CR before CR LF are part of the last field and go through unchanged.

--- a/tests/platform/client_listener_test.cc
+++ b/tests/platform/client_listener_test.cc
@@ -334,4 +334,36 @@
             counted.c_str());
 }
 
+// A LF or CR by itself is part of a field. A reader that ends lines there runs
+// what a client has put into the data of a statement (UNASKED in review/4).
+struct LineEndCase {
+  const char* text;
+  size_t answers;
+};
+
+static const LineEndCase kLineEnds[] = {
+    {"QUERY 1 SET a b\r\nQUERY 2 SET c d\r\n", 2},
+    {"QUERY 1 SET a b\nQUERY 2 SET c d\r\n", 1},
+    {"QUERY 1 SET a b\rQUERY 2 SET c d\r\n", 1},
+    {"QUERY 1 SET a b\n\rQUERY 2 SET c d\r\n", 1},
+    {"QUERY 1 SET a b\r\r\n", 1},
+    {"QUERY 1 SET a b\n", 0},
+};
+
+TABLE_TEST(platform_listener, only_cr_lf_ends_a_line, kLineEnds) {
+  const LineEndCase& row = kLineEnds[*row_index];
+  for (const auto origin :
+       {ClientSession::Origin::kClient, ClientSession::Origin::kPeer}) {
+    ListenerRig rig(origin);
+    rig.Send(std::string(origin == ClientSession::Origin::kClient
+                             ? "STARTUP db\r\n"
+                             : "STARTUP db vm vm/1/db\r\n") +
+             row.text);
+    rig.listener->Drain(DrainPhase::kEnded);
+    const std::string received = rig.ReadToEnd();
+    cr_expect_eq(CountOf(received, "READY"), row.answers + 1, "%s",
+                 received.c_str());
+  }
+}
+
 }  // namespace jackdawturn::gateway::platform
