Gateway: Count a session value as applied once its SET was done

What callers saw: a client's statements ran with a session value that it had replaced, for as long as one connection was used: the SET before a statement had been refused, as the transaction had failed.

Cause: PrepareConnection marked values and prepared statements as applied when it built the commands, and no code looked at the replies to SET, PARSE and DISCARD. The connection to an instance and the one to a holder had the same fault.

Change: AppliedSessionState owns what a connection holds, for both. It takes the replies of the batch; a command counts only when it was done, and after one that was refused or not answered the connection is discarded and set up anew. It also holds for answers that come late. When an instance or holder answers a statement as malformed because a command before it was refused, the refusal is passed on: it tells the client whether it may try again. A ROLLBACK that was refused closes the connection. Names of shared statements are one word.

--- a/libraries/gateway/backend_pool.cc
+++ b/libraries/gateway/backend_pool.cc
@@ -243,8 +243,9 @@
         if (!*self || !*shared_connection)
           return;
         (*self)->m_timers.Cancel(timer);
-                 if (replies)
-                   (*self)->Release(std::move(*shared_connection));
+        // A rollback that was refused leaves the transaction open.
+        if (replies && replies.value().front().code == ReplyCode::kDone)
+          (*self)->Release(std::move(*shared_connection));
         else
           (*self)->Discard(std::move(*shared_connection));
       });
--- a/libraries/gateway/client_session.cc
+++ b/libraries/gateway/client_session.cc
@@ -276,9 +276,7 @@
   if (outcome.reply.code != ReplyCode::kDone) {
     CloseTransaction();
     transaction.failed = true;
-    return;
   }
-  StartIdleTimer();
 }
 
 void ClientSession::StartIdleTimer() {
@@ -385,6 +383,9 @@
 void ClientSession::Reply(ClientReply reply) {
   reply.state = state();
   m_busy = false;
+  // Also after a statement that this proxy answers by itself.
+  if (m_transaction && m_transaction->connection)
+    StartIdleTimer();
   const auto self = shared_from_this();
   if (m_on_reply)
     m_on_reply(reply);
--- a/libraries/gateway/local_statement_execution.cc
+++ b/libraries/gateway/local_statement_execution.cc
@@ -192,8 +192,7 @@
 void LocalStatementExecution::BeginTransaction() {
   const bool read_only =
       m_input.transaction == Transaction::kReadOnly && m_required;
-  auto commands =
-      PrepareConnection(m_input.session, nullptr, m_connection->state);
+  auto commands = m_connection->state.Prepare(m_input.session, nullptr);
   BackendCommand begin;
   // A plain transaction fails on an instance that is no longer primary.
   begin.kind = read_only && !target_is_primary() ? CommandKind::kBeginRead
@@ -204,7 +203,7 @@
     begin.after = m_input.own_commit;
   commands.push_back(std::move(begin));
   Send(std::move(commands), [this](const std::vector<BackendReply>& replies) {
-    const BackendReply& begun = replies.back();
+    const BackendReply& begun = DecidingReply(replies, replies.size() - 1);
     if (begun.code == ReplyCode::kDone) {
       m_required.reset();
       return SendStatement();
@@ -216,9 +215,8 @@
 }
 
 void LocalStatementExecution::SendStatement() {
-  auto commands = PrepareConnection(
-      m_input.session, m_input.prepared ? &*m_input.prepared : nullptr,
-      m_connection->state);
+  auto commands = m_connection->state.Prepare(
+      m_input.session, m_input.prepared ? &*m_input.prepared : nullptr);
   commands.push_back(StatementCommand(m_input));
   if (!m_input.in_transaction() && !m_implicit_transaction && !m_input.writes())
     commands.back().after = m_required;
@@ -229,7 +227,7 @@
     commands.push_back({.kind = CommandKind::kRollback});
   Send(std::move(commands),
        [this, index](const std::vector<BackendReply>& replies) {
-         StatementReplied(replies[index]);
+         StatementReplied(DecidingReply(replies, index));
        });
 }
 
@@ -269,6 +267,7 @@
                                       m_context.timers.now());
   m_context.zone_reachability.Reached(m_target, m_context.timers.now());
   m_instance_state = replies.value().back().state;
+  m_connection->state.Replied(replies.value());
   if (!m_on_done)
     return ReleaseConnection();
   handler(std::move(replies.value()));
@@ -280,7 +279,7 @@
     RecordPosition(reply);
   }
   if (reply.code == ReplyCode::kNoStatement)
-    m_connection->state.prepared.clear();
+    m_connection->state.Invalidate();
   ClientReply answer = ReplyOf(reply);
   const bool done = reply.code == ReplyCode::kDone;
   if (m_input.in_transaction() && done && !m_input.is_commit())
--- a/libraries/gateway/local_statement_timeouts.cc
+++ b/libraries/gateway/local_statement_timeouts.cc
@@ -64,6 +64,7 @@
     return;
   if (!replies)
     return m_context.pool.Discard(std::move(late.mapped()));
+  late.mapped()->state.Replied(replies.value());
   m_context.pool.RollBackAndRelease(std::move(late.mapped()),
                                     replies.value().back().state);
 }
--- a/libraries/gateway/relayed_statement_execution.cc
+++ b/libraries/gateway/relayed_statement_execution.cc
@@ -126,9 +126,8 @@
 }
 
 std::vector<BackendCommand> RelayedStatementExecution::Commands() {
-  auto commands = PrepareConnection(
-      m_input.session, m_input.prepared ? &*m_input.prepared : nullptr,
-      m_connection->state);
+  auto commands = m_connection->state.Prepare(
+      m_input.session, m_input.prepared ? &*m_input.prepared : nullptr);
   if (m_input.in_transaction() && m_first_statement) {
     const bool read_only = m_input.transaction == Transaction::kReadOnly;
     commands.push_back(
@@ -199,13 +198,14 @@
     return Unanswered(replies.error().message);
   m_context.peers.Answered(m_holder);
   m_state = replies.value().back().state;
+  m_connection->state.Replied(replies.value());
   if (!m_on_done)
     return ReleaseConnection();
-  const size_t count = replies.value().size();
+  const size_t last = replies.value().size() - 1;
   const bool began = !m_input.in_transaction() || !m_first_statement ||
-                     replies.value()[count - 2].code == ReplyCode::kDone;
+                     replies.value()[last - 1].code == ReplyCode::kDone;
   // If BEGIN was refused, its reply explains why the statement did not run.
-  StatementReplied(replies.value()[began ? count - 1 : count - 2]);
+  StatementReplied(DecidingReply(replies.value(), began ? last : last - 1));
 }
 
 void RelayedStatementExecution::Unanswered(const std::string& reason) {
--- a/libraries/gateway/session_state.h
+++ b/libraries/gateway/session_state.h
@@ -15,8 +15,9 @@
   bool writes = false;
   std::string shape;
 
-  // Returns the name under which the statement is prepared at instances.
-  std::string SharedName() const { return (writes ? "w" : "r") + shape; }
+  // Returns the name under which the statement is prepared at instances: one
+  // word, which differs between any two statements.
+  std::string SharedName() const;
   friend bool operator==(const PreparedStatement&,
                          const PreparedStatement&) = default;
 };
@@ -28,19 +29,38 @@
   std::map<std::string, PreparedStatement> prepared;
 };
 
-// The values and prepared statements that a connection to an instance has.
-// Thread safety: not thread-safe.
-struct AppliedSessionState {
-  std::map<std::string, std::string> values;
+// What a connection to an instance, or to a proxy that holds such connections,
+// is known to have. A command counts only once its reply has said that it was
+// done. Thread safety: not thread-safe.
+class AppliedSessionState {
+ public:
+  // Returns the commands that give the connection the values of the session,
+  // and the prepared statement `needed` unless it is null. The caller sends
+  // them first in the next batch, and passes its replies to Replied().
+  std::vector<BackendCommand> Prepare(const SessionState& session,
+                                      const PreparedStatement* needed);
+
+  // Takes over the replies to the commands of the last Prepare(), which are the
+  // first ones of the batch.
+  void Replied(const std::vector<BackendReply>& replies);
+
+  // What the connection has is not known any more; the next Prepare() discards
+  // it.
+  void Invalidate() { m_known = false; }
+
+  const std::map<std::string, std::string>& values() const { return m_values; }
+
+ private:
+  bool HasValueOfOtherSession(const SessionState& session) const;
+  void Done(const BackendCommand& command);
+
+  std::map<std::string, std::string> m_values;
   // Names as returned by PreparedStatement::SharedName().
-  std::set<std::string> prepared;
+  std::set<std::string> m_prepared;
+  // The commands that were sent and not yet answered.
+  std::vector<BackendCommand> m_sent;
+  // False after a command that was refused or not answered.
+  bool m_known = true;
 };
 
-// Returns the commands that apply the session's values, and the prepared
-// statement `needed` unless it is null, to a connection. Updates `connection`
-// as if they had run. Thread-safe.
-std::vector<BackendCommand> PrepareConnection(const SessionState& session,
-                                              const PreparedStatement* needed,
-                                              AppliedSessionState& connection);
-
 }  // namespace jackdawturn::gateway
--- a/libraries/gateway/statement_execution.cc
+++ b/libraries/gateway/statement_execution.cc
@@ -1,5 +1,6 @@
 #include "gateway/statement_execution.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jackdawturn::gateway {
@@ -20,6 +21,16 @@
   return reply;
 }
 
+const BackendReply& StatementExecution::DecidingReply(
+    const std::vector<BackendReply>& replies,
+    size_t index) {
+  if (replies[index].code != ReplyCode::kMalformed)
+    return replies[index];
+  return *std::find_if(
+      replies.begin(), replies.begin() + static_cast<std::ptrdiff_t>(index),
+      [](const BackendReply& reply) { return reply.code != ReplyCode::kDone; });
+}
+
 ClientReply StatementExecution::ReplyOf(const BackendReply& reply) {
   ClientReply answer;
   answer.code = reply.code;
--- a/libraries/gateway/statement_execution.h
+++ b/libraries/gateway/statement_execution.h
@@ -79,6 +79,12 @@
   static constexpr double kWaitShare = 0.6;
 
   static ClientReply ErrorReply(ReplyCode code, std::string message);
+  // Returns the reply that tells what became of the statement at `index` of a
+  // batch. After a command that was refused, an instance answers the statements
+  // of a transaction as malformed, and the refusal tells why.
+  static const BackendReply& DecidingReply(
+      const std::vector<BackendReply>& replies,
+      size_t index);
   // Converts the reply of an instance or connection holder.
   static ClientReply ReplyOf(const BackendReply& reply);
   // Returns the command for the client's statement, without the commands that
--- a/tests/gateway/decisions_test.cc
+++ b/tests/gateway/decisions_test.cc
@@ -115,10 +115,23 @@
 // connection and is applied to the statements of another.
 struct PrepareCase {
   SessionState session;
-  AppliedSessionState connection;
+  // What another session has left on the connection.
+  SessionState before;
   std::vector<BackendCommand::Kind> commands;
 };
 
+static std::vector<BackendReply> DoneReplies(size_t count) {
+  BackendReply done;
+  done.code = ReplyCode::kDone;
+  return std::vector<BackendReply>(count, done);
+}
+
+static AppliedSessionState ConnectionOf(const SessionState& session) {
+  AppliedSessionState connection;
+  connection.Replied(DoneReplies(connection.Prepare(session, nullptr).size()));
+  return connection;
+}
+
 static const PrepareCase kPrepares[] = {
     {{}, {}, {}},
     {{.values = {{"a", "1"}}}, {}, {BackendCommand::Kind::kSetValue}},
@@ -137,12 +150,60 @@
            connection_gets_the_session_state,
            kPrepares) {
   const PrepareCase& row = kPrepares[*row_index];
-  AppliedSessionState connection = row.connection;
-  const auto commands = PrepareConnection(row.session, nullptr, connection);
+  AppliedSessionState connection = ConnectionOf(row.before);
+  const auto commands = connection.Prepare(row.session, nullptr);
   cr_assert_eq(commands.size(), row.commands.size());
   for (size_t index = 0; index < commands.size(); ++index)
     cr_expect_eq(commands[index].kind, row.commands[index]);
-  cr_expect(connection.values == row.session.values);
+  connection.Replied(DoneReplies(commands.size()));
+  cr_expect(connection.values() == row.session.values);
+}
+
+// A value whose SET was refused was taken as applied, so that later statements
+// of the client ran with its old value (PINNED in review/3).
+struct RefusalCase {
+  const char* pattern;
+  // The replies to a SET and a PARSE; none if they were not passed on.
+  std::vector<ReplyCode> replies;
+  // How many commands the next statement needs.
+  size_t commands;
+};
+
+static const RefusalCase kRefusals[] = {
+    {"both were done", {ReplyCode::kDone, ReplyCode::kDone}, 0},
+    {"SET was refused", {ReplyCode::kReadOnly, ReplyCode::kDone}, 3},
+    {"PARSE was refused", {ReplyCode::kDone, ReplyCode::kMalformed}, 3},
+    {"both were refused", {ReplyCode::kReadOnly, ReplyCode::kMalformed}, 3},
+    {"only SET was answered", {ReplyCode::kDone}, 3},
+    {"the batch was not answered", {}, 3},
+};
+
+TABLE_TEST(gateway_session_state, refused_command_is_not_applied, kRefusals) {
+  const RefusalCase& row = kRefusals[*row_index];
+  AppliedSessionState connection = ConnectionOf({.values = {{"a", "1"}}});
+  const SessionState session{.values = {{"a", "2"}}};
+  const PreparedStatement needed{false, "q1"};
+  cr_assert_eq(connection.Prepare(session, &needed).size(), 2U);
+  std::vector<BackendReply> replies(row.replies.size());
+  for (size_t index = 0; index < replies.size(); ++index)
+    replies[index].code = row.replies[index];
+  if (!replies.empty())
+    connection.Replied(replies);
+  const auto commands = connection.Prepare(session, &needed);
+  cr_assert_eq(commands.size(), row.commands, "%s", row.pattern);
+  if (commands.empty())
+    return;
+  cr_expect_eq(commands.front().kind, BackendCommand::Kind::kDiscard);
+  connection.Replied(DoneReplies(commands.size()));
+  cr_expect_eq(connection.Prepare(session, &needed).size(), 0U);
+}
+
+// The shape of a statement may hold blanks, which end a name on the wire.
+Test(gateway_session_state, shared_names_are_words) {
+  const PreparedStatement blank{false, "q 1"};
+  const PreparedStatement escaped{false, "q%201"};
+  cr_expect_eq(blank.SharedName().find(' '), std::string::npos);
+  cr_expect(blank.SharedName() != escaped.SharedName());
 }
 
 // Clients may prepare different statements under the same name, or the same
@@ -152,9 +213,11 @@
   AppliedSessionState connection;
   const PreparedStatement read{false, "q1"};
   const PreparedStatement write{true, "q1"};
-  cr_expect_eq(PrepareConnection({}, &read, connection).size(), 1U);
-  cr_expect_eq(PrepareConnection({}, &read, connection).size(), 0U);
-  cr_expect_eq(PrepareConnection({}, &write, connection).size(), 1U);
+  cr_expect_eq(connection.Prepare({}, &read).size(), 1U);
+  connection.Replied(DoneReplies(1));
+  cr_expect_eq(connection.Prepare({}, &read).size(), 0U);
+  connection.Replied({});
+  cr_expect_eq(connection.Prepare({}, &write).size(), 1U);
 }
 
 // Entries that expire during an outage of the store are listed again within
