Gateway: Answer queued statements in a loop and bound the queue

What callers saw: one client that sent 100,000 short statements without waiting ended the process by signal 11, and with it all sessions.

Cause: a statement that the gateway answers itself started the next one from within its own answer, so the stack grew with the queue, and the queue had no limit.

A client that sends without reading is slowed down by its own connection; others are served between the reads.

--- a/libraries/gateway/client_session.cc
+++ b/libraries/gateway/client_session.cc
@@ -389,13 +389,23 @@
   const auto self = shared_from_this();
   if (m_on_reply)
     m_on_reply(reply);
-  if (m_busy || m_pending.empty())
+  StartPending();
+}
+
+void ClientSession::StartPending() {
+  // A statement that is answered at once ends in Reply() again; the loop below
+  // then goes on, so that the depth of the stack does not grow with the queue.
+  if (m_starting)
     return;
-  const PendingStatement next = std::move(m_pending.front());
-  m_pending.pop_front();
-  m_busy = true;
-  m_started = next.received;
-  Start(next.statement);
+  m_starting = true;
+  while (!m_busy && !m_pending.empty()) {
+    const PendingStatement next = std::move(m_pending.front());
+    m_pending.pop_front();
+    m_busy = true;
+    m_started = next.received;
+    Start(next.statement);
+  }
+  m_starting = false;
 }
 
 }  // namespace jackdawturn::gateway
--- a/libraries/gateway/client_session.h
+++ b/libraries/gateway/client_session.h
@@ -81,6 +81,9 @@
   // further one.
   void AnswerAll();
 
+  // Returns how many statements wait for the one in progress.
+  size_t waiting() const { return m_pending.size(); }
+
   // Returns whether every statement was answered.
   bool answered() const { return !m_busy && m_pending.empty(); }
 
@@ -125,6 +128,8 @@
   // Cancels the idle timer and rolls the transaction back at the instance.
   void CloseTransaction();
   void Reply(ClientReply reply);
+  // Starts the statements that wait, until one of them has to wait for others.
+  void StartPending();
   void ReplyDone();
   void Fail(ReplyCode code, std::string message);
   // Refuses this statement and all later ones because the process stops. Those
@@ -153,6 +158,8 @@
   // The answer to every further statement; set when the process stops.
   std::optional<ClientReply> m_refusal;
   bool m_busy = false;
+  // StartPending() is on the stack.
+  bool m_starting = false;
 };
 
 }  // namespace jackdawturn::gateway
--- a/tests/platform/client_listener_test.cc
+++ b/tests/platform/client_listener_test.cc
@@ -366,4 +366,50 @@
   }
 }
 
+// Statements that wait for one at an instance and are then answered by the
+// proxy itself ended the process by a stack overflow, and their number had no
+// limit (review/5).
+Test(platform_listener, flood_of_statements_is_answered) {
+  ListenerRig rig(ClientSession::Origin::kClient);
+  // No instance is there, so the read waits until it is refused.
+  constexpr size_t kStatements = 100'000;
+  std::string statements = "STARTUP db\r\nQUERY 0 READ 1\r\n";
+  // More than the buffers of both sockets take.
+  const std::string line = "QUERY 1 SET a " + std::string(150, 'b') + "\r\n";
+  for (size_t index = 0; index < kStatements; ++index)
+    statements += line;
+  rig.client.set_option(asio::socket_base::send_buffer_size(65'536));
+  rig.client.non_blocking(true);
+  std::string received;
+  std::string chunk(65'536, 0);
+  size_t sent = 0;
+  bool blocked = false;
+  constexpr int kRoundsUntilBlocked = 100;
+  constexpr int kMaxIdleRounds = 300;
+  for (int idle = 0; idle < kMaxIdleRounds; ++idle) {
+    boost::system::error_code error;
+    const size_t before = sent + received.size();
+    if (sent < statements.size())
+      sent += rig.client.write_some(
+          asio::buffer(statements.data() + sent, statements.size() - sent),
+          error);
+    rig.Poll();
+    const size_t bytes = rig.client.read_some(asio::buffer(chunk), error);
+    received.append(chunk, 0, error ? 0 : bytes);
+    if (sent + received.size() > before) {
+      idle = 0;
+      continue;
+    }
+    std::this_thread::sleep_for(1ms);
+    if (idle != kRoundsUntilBlocked)
+      continue;
+    // The client is not read from while its statements wait for the read.
+    blocked = blocked || sent < statements.size();
+    rig.timers.Advance(1s);
+  }
+  cr_expect(blocked);
+  cr_expect_eq(CountOf(received, "READY"), kStatements + 2);
+  cr_expect_eq(rig.listener->sessions(), 1U);
+}
+
 }  // namespace jackdawturn::gateway::platform
