--- a/libraries/gateway/change_announcement.cc
+++ b/libraries/gateway/change_announcement.cc
@@ -81,10 +81,10 @@
 }
 
 std::string EncodeAnnouncement(const ChangeAnnouncement& announcement) {
-  return boost::json::serialize(
-      boost::json::object{{"group", announcement.group.value()},
-                          {"revision", announcement.revision},
-                          {"record", EncodePrimaryChange(announcement.record)}});
+  return boost::json::serialize(boost::json::object{
+      {"group", announcement.group.value()},
+      {"revision", announcement.revision},
+      {"record", EncodePrimaryChange(announcement.record)}});
 }
 
 Result<ChangeAnnouncement> DecodeAnnouncement(const std::string& text) {
--- a/libraries/gateway/replica_confirmation.cc
+++ b/libraries/gateway/replica_confirmation.cc
@@ -10,14 +10,13 @@
 // Returns whether the replica replicates the term of the commit.
 bool FollowsTermOf(const CommitPosition& commit,
                    const ReplicationStatus& status) {
-  return status.role == ReplicationRole::kReplica &&
-         status.term == commit.term;
+  return status.role == ReplicationRole::kReplica && status.term == commit.term;
 }
 
 // Returns whether the replica has the commit.
 bool Has(const CommitPosition& commit, const ReplicationStatus& status) {
-  return FollowsTermOf(commit, status) &&
-         status.received.term == commit.term && status.received >= commit;
+  return FollowsTermOf(commit, status) && status.received.term == commit.term &&
+         status.received >= commit;
 }
 
 bool IsPaused(const ReplicationStatus& status) {
@@ -34,28 +33,30 @@
 bool SurvivesUnknownClaim(const ReplicaAnswers& answers,
                           CommitPosition commit,
                           std::optional<TimePoint> heard_until) {
-  const bool kept = std::any_of(
-      answers.begin(), answers.end(), [&](const Result<InstanceAnswer>& answer) {
-        return answer && Has(commit, answer.value().status) &&
-               !IsPaused(answer.value().status) && heard_until &&
-               answer.value().connected_at <= *heard_until;
-      });
+  const bool kept =
+      std::any_of(answers.begin(), answers.end(),
+                  [&](const Result<InstanceAnswer>& answer) {
+                    return answer && Has(commit, answer.value().status) &&
+                           !IsPaused(answer.value().status) && heard_until &&
+                           answer.value().connected_at <= *heard_until;
+                  });
   if (kept)
     return true;
-  const bool received = std::any_of(
-      answers.begin(), answers.end(), [&](const Result<InstanceAnswer>& answer) {
-        return answer && Has(commit, answer.value().status);
-      });
+  const bool received =
+      std::any_of(answers.begin(), answers.end(),
+                  [&](const Result<InstanceAnswer>& answer) {
+                    return answer && Has(commit, answer.value().status);
+                  });
   return received &&
-         std::all_of(answers.begin(), answers.end(),
-                     [&](const Result<InstanceAnswer>& answer) {
-                       if (!answer)
-                         return DoesNotRun(answer.error());
-                       const ReplicationStatus& status = answer.value().status;
-                       return Has(commit, status) ||
-                              (FollowsTermOf(commit, status) &&
-                               !IsPaused(status));
-                     });
+         std::all_of(
+             answers.begin(), answers.end(),
+             [&](const Result<InstanceAnswer>& answer) {
+               if (!answer)
+                 return DoesNotRun(answer.error());
+               const ReplicationStatus& status = answer.value().status;
+               return Has(commit, status) ||
+                      (FollowsTermOf(commit, status) && !IsPaused(status));
+             });
 }
 
 ReplicaConfirmation::ReplicaConfirmation(GatewayContext& context,
--- a/libraries/record_feed/announcements_http.cc
+++ b/libraries/record_feed/announcements_http.cc
@@ -22,10 +22,9 @@
 }  // namespace
 
 AnnounceToPeer CreatePeerAnnouncer(boost::asio::io_context& context) {
-  return [&context](
-             const Peer& peer, const ChangeAnnouncement& announcement,
-             Duration timeout,
-             std::function<void(Result<AnnouncementAnswer>)> on_answer) {
+  return [&context](const Peer& peer, const ChangeAnnouncement& announcement,
+                    Duration timeout,
+                    std::function<void(Result<AnnouncementAnswer>)> on_answer) {
     const auto endpoint = ParseEndpoint(peer.records_address);
     if (!endpoint)
       return on_answer(endpoint.error());
