Gateway: End one watch within the pause that counts as an outage

Where the users' bound for a configuration is 4 s or more and watches are not shared, the configuration's watch ended after 2 s or later, so a quiet store was taken for gone: no failover, and a status of the replicas for each round of commits. The watch now ends after 1.5 s at most; gateway_host::quiet_store_is_not_taken_for_gone.

--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -66,7 +66,8 @@
              StoreReachabilityChanged("configuration", lost);
            },
            [this](Duration age) { StoreAnswered(age); }},
-          {.wait = m_options.configuration_wait}),
+          {.wait = std::min(m_options.configuration_wait,
+                            StoreContact::kMaxWatch)}),
       m_servers_sync(
           m_watches,
           m_ports.timers,
--- a/libraries/gateway/store_contact.h
+++ b/libraries/gateway/store_contact.h
@@ -11,9 +11,11 @@
 // older than that pause. Deterministic. Thread safety: not thread-safe.
 class StoreContact {
  public:
-  // A longer pause between two answers may hide an outage of the store. Longer
-  // than the shortest of the watches that each proxy always has open.
+  // A longer pause between two answers may hide an outage of the store.
   static constexpr Duration kMaxPause = std::chrono::seconds(2);
+  // One of a proxy's watches must end within this time, so that the store
+  // answers more often than kMaxPause.
+  static constexpr Duration kMaxWatch = std::chrono::milliseconds(1'500);
 
   // The store has answered a call at `time`. Answers may be noted in any order.
   void Answered(TimePoint time) {
--- a/tests/gateway/host_test.cc
+++ b/tests/gateway/host_test.cc
@@ -53,7 +53,16 @@
 };
 
 struct HostRig {
-  HostRig() { host.Start(); }
+  explicit HostRig(Duration configuration_wait = 1'500ms)
+      : host{{.name = VmName("vm"),
+              .zone = ZoneName("z"),
+              .seed = 1,
+              .configuration_wait = configuration_wait},
+             {timers, store, group.Opener(), group.Promoter(), FakeStatus,
+              Decode, DecodeServer},
+             log} {
+    host.Start();
+  }
 
   static Result<GatewayConfig> Decode(const StoredRecord& record) {
     if (record.body == "bad") {
@@ -114,10 +123,7 @@
   MetricRegistry metrics;
   GatewayLog log{nullptr, metrics, VmName("vm")};
   std::vector<std::shared_ptr<ClientSession>> sessions;
-  GatewayHost host{{.name = VmName("vm"), .zone = ZoneName("z"), .seed = 1},
-                   {timers, store, group.Opener(), group.Promoter(), FakeStatus,
-                    Decode, DecodeServer},
-                   log};
+  GatewayHost host;
 };
 
 }  // namespace
@@ -298,4 +304,14 @@
   }
 }
 
+// Where a configuration may take long to be in force, its watch must still end
+// often enough to show that the store answers. Otherwise a proxy would take a
+// quiet store for gone, and would promote no instance.
+Test(gateway_host, quiet_store_is_not_taken_for_gone) {
+  HostRig rig(10s);
+  rig.Configure("1");
+  cr_expect_lt(rig.store.waits[RecordCollection::kConfiguration].count(),
+               Duration(StoreContact::kMaxPause).count());
+}
+
 }  // namespace jackdawturn::gateway
