--- a/libraries/gateway/change_announcement.cc
+++ b/libraries/gateway/change_announcement.cc
@@ -29,8 +29,9 @@
       new AnnouncementRound(timers, std::move(announce),
                             std::move(announcement), std::move(on_outcome)));
   // One more, so that the round does not end before all peers were told.
-  round->m_awaited = peers.size() + 1;
-  for (const Peer& peer : peers)
+  const std::vector<Peer> told = std::move(peers);
+  round->m_awaited = told.size() + 1;
+  for (const Peer& peer : told)
     round->Tell(peer);
   round->PeerEnded();
 }
