Gateway: Serve customers that identify themselves with API keys

Cause: the second word of a client's startup was ignored, so that any client was served, and instances were told one name for all. Change: a configuration that lists customers requires their API keys, except on public routes. The customer is found for each statement, so that a withdrawn key ends with the next one. Connections to instances and holders belong to one customer; at the limit the least recently used one of another customer makes room.

--- a/libraries/core/identifiers.h
+++ b/libraries/core/identifiers.h
@@ -47,6 +47,7 @@
 using VmName = Identifier<struct VmNameTag>;
 using ZoneName = Identifier<struct ZoneNameTag>;
 using ClassName = Identifier<struct ClassNameTag>;
+using CustomerName = Identifier<struct CustomerNameTag>;
 using RequestId = Identifier<struct RequestIdTag>;
 using TransactionId = Identifier<struct TransactionIdTag>;
 using AttemptId = Identifier<struct AttemptIdTag>;
--- a/libraries/gateway/backend_pool.cc
+++ b/libraries/gateway/backend_pool.cc
@@ -5,6 +5,14 @@
 
 namespace jackdawturn::gateway {
 
+namespace {
+
+// A request may wait this long behind younger ones whose customer has a
+// connection already; longer than opening a connection takes.
+constexpr Duration kMaxOvertaking = std::chrono::milliseconds(40);
+
+}  // namespace
+
 BackendPool::BackendPool(Timers& timers,
                          OpenBackendSession open,
                          Options options)
@@ -31,38 +39,60 @@
 }
 
 BackendPool::ConnectionPtr BackendPool::TakeIdle(
-    InstanceConnections& instance) {
-  while (!instance.idle.empty()) {
-    ConnectionPtr connection = std::move(instance.idle.back());
-    instance.idle.pop_back();
-    if (connection->session->is_open())
-      return connection;
-  }
-  return nullptr;
+    InstanceConnections& instance,
+    const std::optional<CustomerName>& customer) {
+  std::erase_if(instance.idle, [](const ConnectionPtr& connection) {
+    return !connection->session->is_open();
+  });
+  const auto found = std::find_if(
+      instance.idle.rbegin(), instance.idle.rend(),
+      [&](const ConnectionPtr& connection) {
+        return !customer || connection->server.customer == *customer;
+      });
+  if (found == instance.idle.rend())
+    return nullptr;
+  ConnectionPtr connection = std::move(*found);
+  instance.idle.erase(std::next(found).base());
+  return connection;
 }
 
 void BackendPool::Acquire(const BackendServer& server,
                           uint64_t priority,
                           Duration wait,
                           OnAcquired on_acquired) {
+  AcquireOrWait(server, std::nullopt, priority, wait, std::move(on_acquired));
+}
+
+void BackendPool::AcquireFor(const CustomerName& customer,
+                             const BackendServer& server,
+                             uint64_t priority,
+                             Duration wait,
+                             OnAcquired on_acquired) {
+  AcquireOrWait(server, customer, priority, wait, std::move(on_acquired));
+}
+
+void BackendPool::AcquireOrWait(const BackendServer& server,
+                                std::optional<CustomerName> customer,
+                                uint64_t priority,
+                                Duration wait,
+                                OnAcquired on_acquired) {
   InstanceConnections& instance = FindOrAddInstance(server);
-  if (instance.waiters.empty()) {
-    if (ConnectionPtr connection = TakeIdle(instance)) {
-      ++instance.in_use;
-      return on_acquired(std::move(connection));
-    }
-  }
+  // A connection is idle only while no waiter accepts it.
+  if (ConnectionPtr connection = TakeIdle(instance, customer))
+    return Lend(instance, std::move(connection), on_acquired);
   if (instance.unreachable_until &&
       m_timers.now() < *instance.unreachable_until && instance.in_use == 0)
     return on_acquired(
         Failure(instance.unreachable_code, "pool.acquire", server.id.value(),
                 "instance was unreachable at the last attempt; the "
                 "retry delay has not elapsed"));
-  Enqueue(instance, priority, wait, std::move(on_acquired));
+  Enqueue(instance, std::move(customer), priority, wait,
+          std::move(on_acquired));
   OpenMore(instance);
 }
 
 void BackendPool::Enqueue(InstanceConnections& instance,
+                          std::optional<CustomerName> customer,
                           uint64_t priority,
                           Duration wait,
                           OnAcquired on_acquired) {
@@ -75,8 +105,9 @@
         if (*self)
           (*self)->TimeOutWaiter(id, number);
       });
-  instance.waiters.insert(insert_at,
-                          {number, priority, std::move(on_acquired), timer});
+  instance.waiters.insert(
+      insert_at, {number, std::move(customer), priority, m_timers.now(),
+                  std::move(on_acquired), timer});
 }
 
 void BackendPool::TimeOutWaiter(const InstanceName& id, uint64_t number) {
@@ -99,25 +130,76 @@
   const TimePoint now = m_timers.now();
   if (instance.full_until && now < *instance.full_until)
     return RetryWhenNotFull(instance);
-  while (MayOpen(instance)) {
-    ++instance.opening;
-    m_open(instance.server, m_options.open_timeout,
-           [self = m_self, id = instance.server.id](
-               Result<std::unique_ptr<BackendSession>> session) {
-             if (*self)
-               (*self)->OnOpened(id, std::move(session));
-           });
+  while (const Waiter* waiter = NextWithoutConnection(instance)) {
+    if (instance.opening >= m_options.concurrent_opens || !MakeRoom(instance))
+      return;
+    Open(instance, waiter->customer.value_or(CustomerName()));
   }
 }
 
-bool BackendPool::MayOpen(const InstanceConnections& instance) const {
-  if (instance.opening >= instance.waiters.size() ||
-      instance.opening >= m_options.concurrent_opens)
-    return false;
+void BackendPool::Open(InstanceConnections& instance,
+                       const CustomerName& customer) {
+  ++instance.opening;
+  ++instance.opening_for[customer];
+  BackendServer server = instance.server;
+  server.customer = customer;
+  m_open(server, m_options.open_timeout,
+         [self = m_self, id = server.id,
+          customer](Result<std::unique_ptr<BackendSession>> session) {
+           if (*self)
+             (*self)->OnOpened(id, customer, std::move(session));
+         });
+}
+
+const BackendPool::Waiter* BackendPool::NextWithoutConnection(
+    const InstanceConnections& instance) const {
+  if (instance.opening >= instance.waiters.size())
+    return nullptr;
+  const auto in_use_for = [&instance](const Waiter& waiter) -> size_t {
+    const auto found =
+        instance.in_use_for.find(waiter.customer.value_or(CustomerName()));
+    return found == instance.in_use_for.end() ? 0 : found->second;
+  };
+  auto opening_for = instance.opening_for;
+  const Waiter* next = nullptr;
+  for (const Waiter& waiter : instance.waiters) {
+    size_t& opening = opening_for[waiter.customer.value_or(CustomerName())];
+    if (opening > 0) {
+      --opening;
+      continue;
+    }
+    if (next && waiter.priority > next->priority)
+      break;
+    if (!next || in_use_for(waiter) < in_use_for(*next))
+      next = &waiter;
+  }
+  return next;
+}
+
+bool BackendPool::HasRoom(const InstanceConnections& instance) const {
   const size_t limit = m_options.max_connections
                            ? m_options.max_connections(instance.server)
                            : 0;
-  return limit == 0 || instance.in_use + instance.opening < limit;
+  return limit == 0 || instance.total() < limit;
+}
+
+bool BackendPool::MakeRoom(InstanceConnections& instance) const {
+  if (!HasRoom(instance) && !instance.idle.empty())
+    instance.idle.erase(instance.idle.begin());
+  return HasRoom(instance);
+}
+
+bool BackendPool::MustYield(const InstanceConnections& instance,
+                            const CustomerName& customer) const {
+  const Waiter* other = NextWithoutConnection(instance);
+  if (instance.opening >= m_options.concurrent_opens || !other ||
+      other->Accepts(customer) ||
+      other->since + kMaxOvertaking > m_timers.now())
+    return false;
+  const auto own = std::find_if(
+      instance.waiters.begin(), instance.waiters.end(),
+      [&](const Waiter& waiter) { return waiter.Accepts(customer); });
+  return own == instance.waiters.end() || other->priority <= own->priority;
 }
 
 void BackendPool::RetryWhenNotFull(InstanceConnections& instance) {
@@ -137,20 +219,27 @@
 }
 
 void BackendPool::OnOpened(const InstanceName& id,
+                           const CustomerName& customer,
                            Result<std::unique_ptr<BackendSession>> session) {
   const auto found = m_instances.find(id);
   if (found == m_instances.end())
     return;
   InstanceConnections& instance = found->second;
   --instance.opening;
+  if (--instance.opening_for[customer] == 0)
+    instance.opening_for.erase(customer);
   if (session) {
     instance.unreachable_until.reset();
     instance.full_until.reset();
-    return AddOpened(instance, std::move(session.value()));
+    return AddOpened(instance, customer, std::move(session.value()));
   }
   if (m_options.on_open_failed)
     m_options.on_open_failed(instance.server, session.error());
   if (session.error().code == ErrorCode::kExhausted) {
+    // The connections of other proxies fill the instance, so an own one that is
+    // idle makes room for the waiter.
+    if (!instance.idle.empty() && !instance.waiters.empty())
+      instance.idle.erase(instance.idle.begin());
     instance.full_until = m_timers.now() + m_options.full_retry_delay;
     return RetryWhenNotFull(instance);
   }
@@ -161,10 +250,12 @@
 }
 
 void BackendPool::AddOpened(InstanceConnections& instance,
+                            const CustomerName& customer,
                             std::unique_ptr<BackendSession> session) {
   auto connection = std::make_unique<PooledConnection>();
   connection->pool = this;
   connection->server = instance.server;
+  connection->server.customer = customer;
   connection->session = std::move(session);
   connection->opened_at = m_timers.now();
   Offer(instance, std::move(connection));
@@ -174,7 +265,8 @@
                         Duration timeout,
                         std::function<void(Result<void>)> on_end) {
   m_open(server, timeout,
-         [self = m_self, id = server.id, on_end = std::move(on_end)](
+         [self = m_self, id = server.id, customer = server.customer,
+          on_end = std::move(on_end)](
              Result<std::unique_ptr<BackendSession>> session) {
            if (!*self)
              return;
@@ -182,23 +274,47 @@
              return on_end(session.error());
            const auto found = (*self)->m_instances.find(id);
            if (found != (*self)->m_instances.end())
-             (*self)->AddOpened(found->second, std::move(session.value()));
+             (*self)->AddOpened(found->second, customer,
+                                std::move(session.value()));
            on_end(Success());
          });
 }
 
 void BackendPool::Offer(InstanceConnections& instance,
                         ConnectionPtr connection) {
+  const CustomerName customer = connection->server.customer;
+  const auto waiter =
+      std::find_if(instance.waiters.begin(), instance.waiters.end(),
+                   [&](const Waiter& item) { return item.Accepts(customer); });
+  if (waiter != instance.waiters.end() && !MustYield(instance, customer)) {
+    const OnAcquired on_acquired = std::move(waiter->on_acquired);
+    m_timers.Cancel(waiter->timer);
+    instance.waiters.erase(waiter);
+    return Lend(instance, std::move(connection), on_acquired);
+  }
   connection->idle_since = m_timers.now();
-  if (instance.waiters.empty()) {
+  if (waiter == instance.waiters.end())
     instance.idle.push_back(std::move(connection));
-    return;
-  }
-  Waiter waiter = std::move(instance.waiters.front());
-  instance.waiters.pop_front();
-  m_timers.Cancel(waiter.timer);
+  else
+    connection.reset();
+  // Other customers may wait for room.
+  OpenMore(instance);
+}
+
+void BackendPool::Lend(InstanceConnections& instance,
+                       ConnectionPtr connection,
+                       const OnAcquired& on_acquired) {
   ++instance.in_use;
-  waiter.on_acquired(std::move(connection));
+  ++instance.in_use_for[connection->server.customer];
+  on_acquired(std::move(connection));
+}
+
+void BackendPool::Returned(InstanceConnections& instance,
+                           const PooledConnection& connection) {
+  --instance.in_use;
+  const auto found = instance.in_use_for.find(connection.server.customer);
+  if (found != instance.in_use_for.end() && --found->second == 0)
+    instance.in_use_for.erase(found);
 }
 
 void BackendPool::FailWaiters(InstanceConnections& instance,
@@ -216,10 +332,11 @@
   if (found == m_instances.end())
     return;
   InstanceConnections& instance = found->second;
-  --instance.in_use;
+  Returned(instance, *connection);
   if (connection->session->is_open() &&
       connection->server.incarnation == instance.server.incarnation)
     return Offer(instance, std::move(connection));
+  connection.reset();
   OpenMore(instance);
 }
 
@@ -259,10 +376,10 @@
 
 void BackendPool::Discard(ConnectionPtr connection) {
   const auto found = m_instances.find(connection->server.id);
-  connection.reset();
   if (found == m_instances.end())
     return;
-  --found->second.in_use;
+  Returned(found->second, *connection);
+  connection.reset();
   OpenMore(found->second);
 }
 
@@ -283,10 +400,16 @@
     });
     const bool keep_one =
         !m_options.keep_one_idle || m_options.keep_one_idle(instance.server);
-    // The least recently used connection is first.
-    while (instance.idle.size() > (keep_one ? 1 : 0) &&
-           instance.idle.front()->idle_since + m_options.idle_time < now)
-      instance.idle.erase(instance.idle.begin());
+    // The least recently used connection is first; the last one may be kept.
+    const size_t closable =
+        instance.idle.size() - (keep_one && !instance.idle.empty() ? 1 : 0);
+    const auto end =
+        instance.idle.begin() + static_cast<std::ptrdiff_t>(closable);
+    const auto kept = std::remove_if(
+        instance.idle.begin(), end, [&](const ConnectionPtr& connection) {
+          return connection->idle_since + IdleTime(*connection, keep_one) < now;
+        });
+    instance.idle.erase(kept, end);
   }
   std::erase_if(m_instances, [now](const auto& entry) {
     const InstanceConnections& instance = entry.second;
@@ -297,6 +420,25 @@
   });
 }
 
+Duration BackendPool::IdleTime(const PooledConnection& connection,
+                               bool kept) const {
+  return kept && !connection.server.customer.empty()
+             ? m_options.customer_idle_time
+             : m_options.idle_time;
+}
+
+bool BackendPool::HasIdle(const InstanceName& id,
+                          const CustomerName& customer) const {
+  if (customer.empty())
+    return true;
+  const auto found = m_instances.find(id);
+  return found != m_instances.end() &&
+         std::any_of(found->second.idle.begin(), found->second.idle.end(),
+                     [&](const ConnectionPtr& connection) {
+                       return connection->server.customer == customer;
+                     });
+}
+
 size_t BackendPool::Outstanding(const InstanceName& id) const {
   const auto found = m_instances.find(id);
   return found == m_instances.end()
--- a/libraries/gateway/client_session.cc
+++ b/libraries/gateway/client_session.cc
@@ -13,6 +13,8 @@
 using Kind = ClientStatement::Kind;
 
 constexpr const char* kStops = "the proxy stops";
+constexpr const char* kInvalidKey = "the API key is not valid";
+constexpr const char* kOverRateLimit = "over_rate_limit";
 
 }  // namespace
 
@@ -24,6 +26,8 @@
       return "connection_error";
     case SessionEnd::kMalformed:
       return "malformed";
+    case SessionEnd::kUnauthorized:
+      return "unauthorized";
     case SessionEnd::kDrain:
       return "drain";
     case SessionEnd::kProcessEnd:
@@ -35,9 +39,11 @@
 std::shared_ptr<ClientSession> ClientSession::Create(GatewayContext& context,
                                                      std::string database,
                                                      Origin origin,
-                                                     OnReply on_reply) {
-  return std::shared_ptr<ClientSession>(new ClientSession(
-      context, std::move(database), origin, std::move(on_reply)));
+                                                     OnReply on_reply,
+                                                     SessionOwner owner) {
+  return std::shared_ptr<ClientSession>(
+      new ClientSession(context, std::move(database), origin,
+                        std::move(on_reply), std::move(owner)));
 }
 
 void ClientSession::Handle(ClientStatement statement) {
@@ -68,6 +74,10 @@
   if (const auto execution = m_execution)
     execution->Interrupt();
   RollBack();
+  if (std::exchange(m_admitting, false)) {
+    LogAnswerOfDrain(m_running, *m_refusal);
+    Reply(*m_refusal);
+  }
 }
 
 const Route* ClientSession::FindRoute() const {
@@ -92,6 +102,8 @@
     m_own_commit = statement.after;
   if (m_refusal)
     return RefuseStatement(statement);
+  if (!UpdateCustomer())
+    return RefuseUnauthorized(statement);
   if (m_transaction)
     m_context.timers.Cancel(m_transaction->idle_timer);
   if (m_transaction && statement.kind != Kind::kRollback &&
@@ -130,6 +142,66 @@
   }
 }
 
+bool ClientSession::UpdateCustomer() {
+  if (m_origin == Origin::kPeer || !m_context.config ||
+      !m_context.config->requires_api_keys)
+    return true;
+  const CustomerName* holder = m_context.config->FindKeyHolder(m_key);
+  const Route* route = m_transaction ? &m_transaction->route : FindRoute();
+  if (!holder && !(route && route->is_public))
+    return false;
+  const CustomerName customer = holder ? *holder : CustomerName();
+  // The connection of a transaction belongs to the customer that began it.
+  if (m_transaction && customer != m_customer)
+    return false;
+  m_customer = customer;
+  return true;
+}
+
+void ClientSession::RefuseUnauthorized(const ClientStatement& statement) {
+  RollBack();
+  m_unauthorized = true;
+  m_context.log.CountUnauthorized();
+  m_context.log.LogRequestEvent(statement.id, GroupName(), "unauthorized", "",
+                                {{"database", m_database}});
+  Fail(ReplyCode::kUnauthorized, kInvalidKey);
+}
+
+void ClientSession::Admit(const ClientStatement& statement,
+                          const Route& route,
+                          std::function<void()> then) {
+  // The entry proxy has admitted what it relays.
+  if (m_origin == Origin::kPeer || !m_context.admit_operation ||
+      m_customer.empty())
+    return then();
+  m_admitting = true;
+  m_running = statement.id;
+  m_context.admit_operation(
+      m_customer, m_started + route.target_latency,
+      [weak = weak_from_this(), admission = ++m_admission,
+       then = std::move(then)](OperationDecision decision) {
+        const auto self = weak.lock();
+        if (!self || admission != self->m_admission ||
+            !std::exchange(self->m_admitting, false))
+          return;
+        if (decision.admitted)
+          return then();
+        self->RefuseOverLimit(decision.retry_after);
+      });
+}
+
+void ClientSession::RefuseOverLimit(Duration retry_after) {
+  const auto milliseconds =
+      std::chrono::ceil<std::chrono::milliseconds>(retry_after).count();
+  m_context.log.LogRequestEvent(
+      m_running, GroupName(), "over_rate_limit", "",
+      {{"customer", m_customer.value()},
+       {"database", m_database},
+       {"retry_after_ms", std::to_string(milliseconds)}});
+  Fail(ReplyCode::kBusy, std::string(kOverRateLimit) +
+                             " retry_after_ms=" + std::to_string(milliseconds));
+}
+
 void ClientSession::StartInFailedTransaction(const ClientStatement& statement) {
   if (statement.kind == Kind::kRollback) {
     RollBack();
@@ -150,17 +222,24 @@
   if (m_context.DrainReached(DrainPhase::kEndingTransactions))
     return RefuseFromNowOn(statement, ReplyCode::kBusy, kDraining);
   const Route* route = FindRoute();
-  m_transaction.emplace();
   if (!route) {
     // Another proxy sends BEGIN and the first statement in one batch. The
     // failed transaction remains, so that this statement does not run outside
     // of a transaction.
-    if (m_origin == Origin::kClient)
-      m_transaction.reset();
+    if (m_origin == Origin::kPeer)
+      m_transaction.emplace();
     return Fail(ReplyCode::kNoDatabase, "no such database");
   }
-  m_transaction->route = *route;
-  m_transaction->read_only = statement.kind == Kind::kBeginRead;
+  const bool read_only = statement.kind == Kind::kBeginRead;
+  Admit(statement, *route, [this, route = *route, read_only] {
+    BeginTransaction(route, read_only);
+  });
+}
+
+void ClientSession::BeginTransaction(const Route& route, bool read_only) {
+  m_transaction.emplace();
+  m_transaction->route = route;
+  m_transaction->read_only = read_only;
   ReplyDone();
 }
 
@@ -179,28 +258,40 @@
 }
 
 void ClientSession::Run(const ClientStatement& statement) {
+  if (!m_transaction)
+    return RunSingle(statement);
   StatementExecution::Input input;
+  input.route = m_transaction->route;
+  input.transaction = m_transaction->read_only
+                          ? StatementExecution::Transaction::kReadOnly
+                          : StatementExecution::Transaction::kReadWrite;
+  input.connection = std::move(m_transaction->connection);
+  input.transaction_wrote = m_transaction->wrote;
+  Execute(statement, std::move(input));
+}
+
+void ClientSession::RunSingle(const ClientStatement& statement) {
+  if (statement.kind == Kind::kCommit)
+    return Fail(ReplyCode::kMalformed, "no transaction is open");
+  const Route* route = FindRoute();
+  if (!route)
+    return Fail(ReplyCode::kNoDatabase, "no such database");
+  // Nearly all statements end long before their limit, which may be longer
+  // than the grace period, so it counts late in a drain only.
+  if (m_context.DrainReached(DrainPhase::kEndingTransactions) &&
+      !m_context.HasTimeFor(route->statement_timeout))
+    return RefuseFromNowOn(statement, ReplyCode::kBusy, kDraining);
+  Admit(statement, *route, [this, statement, route = *route] {
+    StatementExecution::Input input;
+    input.route = route;
+    Execute(statement, std::move(input));
+  });
+}
+
+void ClientSession::Execute(const ClientStatement& statement,
+                            StatementExecution::Input input) {
   input.statement = statement;
-  if (m_transaction) {
-    input.route = m_transaction->route;
-    input.transaction = m_transaction->read_only
-                            ? StatementExecution::Transaction::kReadOnly
-                            : StatementExecution::Transaction::kReadWrite;
-    input.connection = std::move(m_transaction->connection);
-    input.transaction_wrote = m_transaction->wrote;
-  } else {
-    if (statement.kind == Kind::kCommit)
-      return Fail(ReplyCode::kMalformed, "no transaction is open");
-    const Route* route = FindRoute();
-    if (!route)
-      return Fail(ReplyCode::kNoDatabase, "no such database");
-    // Nearly all statements end long before their limit, which may be longer
-    // than the grace period, so it counts late in a drain only.
-    if (m_context.DrainReached(DrainPhase::kEndingTransactions) &&
-        !m_context.HasTimeFor(route->statement_timeout))
-      return RefuseFromNowOn(statement, ReplyCode::kBusy, kDraining);
-    input.route = *route;
-  }
+  input.customer = m_customer;
   if (statement.kind == Kind::kExecute) {
     const auto prepared = m_state.prepared.find(statement.name);
     if (prepared == m_state.prepared.end()) {
@@ -301,8 +392,8 @@
 }
 
 void ClientSession::LogUnanswered(SessionEnd why) {
-  if (m_execution)
-    LogUnanswered(m_running, why, m_execution->sent());
+  if (m_execution || m_admitting)
+    LogUnanswered(m_running, why, m_execution && m_execution->sent());
   for (const PendingStatement& pending : m_pending)
     LogUnanswered(pending.statement.id, why, false);
 }
@@ -324,6 +415,7 @@
 void ClientSession::Disconnect(SessionEnd why) {
   m_on_reply = nullptr;
   LogUnanswered(why);
+  m_admitting = false;
   m_pending.clear();
   if (m_execution)
     m_execution->Abandon();
--- a/libraries/gateway/client_session.h
+++ b/libraries/gateway/client_session.h
@@ -12,6 +12,14 @@
 
 namespace jackdawturn::gateway {
 
+// For whom a session runs statements.
+struct SessionOwner {
+  // Of a client: the digest of the API key that it presented.
+  ApiKeyDigest key{};
+  // Of another proxy: the customer whose statements it relays.
+  CustomerName customer;
+};
+
 // A client's transaction. A connection is assigned with its first statement.
 struct ClientTransaction {
   Route route;
@@ -31,6 +39,8 @@
   kConnectionError,
   // What the client sent is not understood.
   kMalformed,
+  // The client's API key is not valid any more.
+  kUnauthorized,
   // This proxy closes its sessions, or is cut off with its zone.
   kDrain,
   // The process ends although statements are in progress.
@@ -58,7 +68,8 @@
   static std::shared_ptr<ClientSession> Create(GatewayContext& context,
                                                std::string database,
                                                Origin origin,
-                                               OnReply on_reply);
+                                               OnReply on_reply,
+                                               SessionOwner owner = {});
 
   // Runs the statement, or queues it behind the one in progress. Replies are
   // passed to `on_reply` in the order of the statements.
@@ -87,6 +98,10 @@
   // Returns whether every statement was answered.
   bool answered() const { return !m_busy && m_pending.empty(); }
 
+  // Returns whether the last statement was refused because the API key is not
+  // valid any more; the connection is then to be closed.
+  bool unauthorized() const { return m_unauthorized; }
+
   // Returns whether every statement was answered and no transaction is open.
   bool idle() const { return answered() && !m_transaction; }
 
@@ -99,12 +114,25 @@
   ClientSession(GatewayContext& context,
                 std::string database,
                 Origin origin,
-                OnReply on_reply)
+                OnReply on_reply,
+                SessionOwner owner)
       : m_context(context),
         m_database(std::move(database)),
         m_origin(origin),
-        m_on_reply(std::move(on_reply)) {}
-
+        m_key(owner.key),
+        m_on_reply(std::move(on_reply)),
+        m_customer(std::move(owner.customer)) {}
+
+  // Finds the customer that holds the client's API key now. Returns false if
+  // there is none, or another one than that of the open transaction.
+  bool UpdateCustomer();
+  void RefuseUnauthorized(const ClientStatement& statement);
+  // Calls `then` if the customer may start an operation, and otherwise refuses
+  // the statement.
+  void Admit(const ClientStatement& statement,
+             const Route& route,
+             std::function<void()> then);
+  void RefuseOverLimit(Duration retry_after);
   // Returns the session's route in the current configuration, or null.
   const Route* FindRoute() const;
   // Returns whether statements must be relayed because other proxies hold the
@@ -115,8 +143,12 @@
   void Start(const ClientStatement& statement);
   void StartInFailedTransaction(const ClientStatement& statement);
   void Begin(const ClientStatement& statement);
+  void BeginTransaction(const Route& route, bool read_only);
   void RollBack();
   void Run(const ClientStatement& statement);
+  void RunSingle(const ClientStatement& statement);
+  void Execute(const ClientStatement& statement,
+               StatementExecution::Input input);
   void StatementFinished(const ClientStatement& statement,
                          bool wrote,
                          StatementExecution::Outcome outcome);
@@ -144,13 +176,20 @@
   GatewayContext& m_context;
   const std::string m_database;
   const Origin m_origin;
+  const ApiKeyDigest m_key;
   OnReply m_on_reply;
+  // For whom statements run; empty without customers.
+  CustomerName m_customer;
   SessionState m_state;
   std::optional<CommitPosition> m_own_commit;
   std::optional<ClientTransaction> m_transaction;
   std::shared_ptr<StatementExecution> m_execution;
-  // The statement that m_execution runs.
+  // The statement that m_execution runs, or that waits to be admitted.
   RequestId m_running;
+  // A statement waits to be admitted; its number.
+  bool m_admitting = false;
+  uint64_t m_admission = 0;
+  bool m_unauthorized = false;
   // When the statement in progress was received.
   TimePoint m_started;
   // Statements received while another one was in progress.
--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -33,6 +33,13 @@
   TimePoint lagging_until;
 };
 
+// Whether an operation of a customer may start now.
+struct OperationDecision {
+  bool admitted = true;
+  // If not: when the client should retry.
+  Duration retry_after{0};
+};
+
 // State shared by all sessions of a proxy. Thread safety: not thread-safe.
 struct GatewayContext {
   Timers& timers;
@@ -68,6 +75,13 @@
                      TimePoint deadline,
                      std::function<void(bool survives)> on_decision)>
       confirm_commit;
+  // Decides whether a customer may start one more operation under its rate
+  // limit, and calls `on_decision` once, at the latest at `deadline`. Null: no
+  // customer is limited.
+  std::function<void(const CustomerName& customer,
+                     TimePoint deadline,
+                     std::function<void(OperationDecision)> on_decision)>
+      admit_operation;
   // When a group last lost an instance together with its log. Before `started`,
   // such a loss may have occurred at any time, unobserved by this proxy.
   std::map<GroupName, TimePoint> last_member_loss;
--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -160,18 +160,30 @@
   m_awaiting_configuration.push_back(std::move(action));
 }
 
-std::shared_ptr<ClientSession> GatewayHost::OpenSession(
+Result<std::shared_ptr<ClientSession>> GatewayHost::OpenSession(
     const std::string& database,
+    std::string_view api_key,
     ClientSession::OnReply on_reply) {
   VERIFY(m_context.config);
-  if (!m_context.config->FindRoute(database))
-    return nullptr;
-  return ClientSession::Create(
-      m_context, database, ClientSession::Origin::kClient, std::move(on_reply));
+  const Route* route = m_context.config->FindRoute(database);
+  if (!route)
+    return Failure(ErrorCode::kNotFound, "session.open", database,
+                   "no such database");
+  const ApiKeyDigest key = DigestApiKey(api_key);
+  if (m_context.config->requires_api_keys && !route->is_public &&
+      !m_context.config->FindKeyHolder(key)) {
+    m_log.CountUnauthorized();
+    return Failure(ErrorCode::kUnauthorized, "session.open", database,
+                   "no customer holds the API key");
+  }
+  return ClientSession::Create(m_context, database,
+                               ClientSession::Origin::kClient,
+                               std::move(on_reply), {.key = key});
 }
 
 Result<std::shared_ptr<ClientSession>> GatewayHost::OpenRelayedSession(
     const RelayDestination& destination,
+    const CustomerName& customer,
     ClientSession::OnReply on_reply) {
   VERIFY(m_context.config);
   if (destination.peer != m_options.name)
@@ -186,7 +198,7 @@
                    "no such database");
   return ClientSession::Create(m_context, destination.database,
                                ClientSession::Origin::kPeer,
-                               std::move(on_reply));
+                               std::move(on_reply), {.customer = customer});
 }
 
 BackendPool::Options GatewayHost::PoolOptions() {
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -77,18 +77,23 @@
   // already is.
   void WhenConfigured(std::function<void()> action);
 
-  // Returns null when the database has no route.
+  // Opens a session for a client that presented `api_key`. Errors: kNotFound
+  // (the database has no route), kUnauthorized (no customer holds the key, and
+  // the route is not public).
   // Precondition: the first configuration is in force.
-  std::shared_ptr<ClientSession> OpenSession(const std::string& database,
-                                             ClientSession::OnReply on_reply);
+  Result<std::shared_ptr<ClientSession>> OpenSession(
+      const std::string& database,
+      std::string_view api_key,
+      ClientSession::OnReply on_reply);
 
-  // As OpenSession, for statements that another proxy relays. Errors:
-  // kNotFound (`destination` names another proxy or an unknown database),
-  // kExhausted (this proxy's configuration is older than that of
+  // As OpenSession, for statements of `customer` that another proxy relays.
+  // Errors: kNotFound (`destination` names another proxy or an unknown
+  // database), kExhausted (this proxy's configuration is older than that of
   // `destination`).
   // Precondition: the first configuration is in force.
   Result<std::shared_ptr<ClientSession>> OpenRelayedSession(
       const RelayDestination& destination,
+      const CustomerName& customer,
       ClientSession::OnReply on_reply);
 
   const GatewayContext& context() const { return m_context; }
--- a/libraries/gateway/gateway_host_records.cc
+++ b/libraries/gateway/gateway_host_records.cc
@@ -21,6 +21,7 @@
 void GatewayHost::ConfigurationChanged(const StoredRecord& record) {
   auto decoded = m_ports.decode_config(record);
   if (!decoded) {
+    m_log.CountRefusedConfiguration();
     m_log.LogStateChange(EventKind::kTargets, GroupName(), "refused",
                          record.name, {{"error", decoded.error().message}});
     return;
@@ -38,7 +39,8 @@
       EventKind::kTargets, GroupName(), "in_force", record.name,
       {{"version", std::to_string(m_context.config->version)},
        {"revision", std::to_string(record.revision)},
-       {"routes", std::to_string(m_context.config->routes.size())}});
+       {"routes", std::to_string(m_context.config->routes.size())},
+       {"customers", std::to_string(m_context.config->customers.size())}});
   for (const auto& action : std::exchange(m_awaiting_configuration, {}))
     action();
 }
--- a/libraries/gateway/gateway_log.cc
+++ b/libraries/gateway/gateway_log.cc
@@ -62,6 +62,20 @@
       .Add();
 }
 
+void GatewayLog::CountUnauthorized() {
+  m_metrics
+      .FindCounter("jackdawturn_clients_unauthorized_total",
+                   "Clients that presented no valid API key.", {})
+      .Add();
+}
+
+void GatewayLog::CountRefusedConfiguration() {
+  m_metrics
+      .FindCounter("jackdawturn_configurations_refused_total",
+                   "Configurations that are not valid and were left out.", {})
+      .Add();
+}
+
 void GatewayLog::CountMissingCommit(bool proven) {
   m_metrics
       .FindCounter("jackdawturn_commits_missing_total",
--- a/libraries/gateway/gateway_log.h
+++ b/libraries/gateway/gateway_log.h
@@ -39,6 +39,10 @@
   // Counts a statement whose session ended before its answer, by the reason of
   // the end.
   void CountUnanswered(const std::string& reason);
+  // Counts a client that presented no valid API key.
+  void CountUnauthorized();
+  // Counts a configuration that is not valid and was left out.
+  void CountRefusedConfiguration();
   // Counts an acknowledged commit that a later primary lacks or, if that is not
   // `proven`, may lack.
   void CountMissingCommit(bool proven);
--- a/libraries/gateway/gateway_types.cc
+++ b/libraries/gateway/gateway_types.cc
@@ -2,6 +2,8 @@
 
 #include <tuple>
 
+#include <openssl/sha.h>
+
 namespace jackdawturn::gateway {
 
 std::string ToString(const CommitPosition& position) {
@@ -34,6 +36,8 @@
       return "unknown";
     case ReplyCode::kNoDatabase:
       return "no_database";
+    case ReplyCode::kUnauthorized:
+      return "unauthorized";
     case ReplyCode::kMalformed:
       return "malformed";
     case ReplyCode::kOther:
@@ -44,10 +48,17 @@
 
 bool Route::HasSameSettings(const Route& other) const {
   return std::tie(database, group, freshness, max_staleness, statement_timeout,
-                  target_latency, priority) ==
+                  target_latency, priority, is_public) ==
          std::tie(other.database, other.group, other.freshness,
                   other.max_staleness, other.statement_timeout,
-                  other.target_latency, other.priority);
+                  other.target_latency, other.priority, other.is_public);
+}
+
+ApiKeyDigest DigestApiKey(std::string_view key) {
+  ApiKeyDigest digest;
+  SHA256(reinterpret_cast<const unsigned char*>(key.data()), key.size(),
+         digest.data());
+  return digest;
 }
 
 void GatewayConfig::InheritRouteVersions(const GatewayConfig& earlier) {
--- a/libraries/gateway/gateway_types.h
+++ b/libraries/gateway/gateway_types.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -45,6 +46,8 @@
   Duration target_latency{0};
   // 0 is the highest priority.
   uint64_t priority = 0;
+  // Whether clients without an API key are served as well.
+  bool is_public = false;
   // The configuration version that last changed the route.
   uint64_t last_changed_version = 0;
 
@@ -62,11 +65,38 @@
   uint64_t sync_replicas = 0;
 };
 
+// The SHA-256 digest of an API key. Keys themselves are not kept, so that none
+// reaches a log, a metric or another process.
+using ApiKeyDigest = std::array<uint8_t, 32>;
+
+// Returns the digest of an API key. Thread-safe.
+ApiKeyDigest DigestApiKey(std::string_view key);
+
+// How many operations of a customer the whole fleet may start: within any time
+// `t`, `per_second` * t + `burst` of them.
+struct RateLimit {
+  double per_second = 0;
+  double burst = 0;
+
+  friend bool operator==(const RateLimit&, const RateLimit&) = default;
+};
+
+// Whose clients share connections and a rate limit.
+struct Customer {
+  // Nothing: operations are not limited.
+  std::optional<RateLimit> limit;
+};
+
 // One version of the operator's configuration. Immutable once published.
 struct GatewayConfig {
   uint64_t version = 0;
   std::map<std::string, Route> routes;
   std::map<GroupName, GroupLimits> groups;
+  // Whether clients must present the API key of a customer, except on public
+  // routes.
+  bool requires_api_keys = false;
+  std::map<CustomerName, Customer> customers;
+  std::map<ApiKeyDigest, CustomerName> key_holders;
   // The proxy ends a transaction that is idle for this long; 0: never.
   Duration transaction_idle{0};
 
@@ -79,6 +109,12 @@
     return routes.empty() ? "" : routes.begin()->first;
   }
 
+  // Returns the customer that holds the key, or null.
+  const CustomerName* FindKeyHolder(const ApiKeyDigest& key) const {
+    const auto found = key_holders.find(key);
+    return found == key_holders.end() ? nullptr : &found->second;
+  }
+
   // Returns the route of a database name, or null.
   const Route* FindRoute(const std::string& database) const {
     const auto found = routes.find(database);
@@ -100,6 +136,8 @@
   uint64_t incarnation = 0;
   // The store's revision of this record.
   uint64_t revision = 0;
+  // The customer for whom a connection is opened; empty for the proxy itself.
+  CustomerName customer;
 };
 
 // The outcome of a statement as reported by the instance or the proxy.
@@ -119,6 +157,7 @@
   kUnknown,
   // The statement cannot be served at all.
   kNoDatabase,
+  kUnauthorized,
   kMalformed,
   kOther,
 };
--- a/libraries/gateway/local_statement_execution.cc
+++ b/libraries/gateway/local_statement_execution.cc
@@ -103,12 +103,12 @@
   m_target = server->id;
   if (m_context.isolation.isolated_since() && server->zone != m_context.zone)
     return Refuse(kZoneIsolated);
-  m_context.pool.Acquire(
-      *server, m_input.route.priority, m_send_deadline - m_context.timers.now(),
-      [self =
-           shared_from_this()](Result<BackendPool::ConnectionPtr> connection) {
-        self->Acquired(std::move(connection));
-      });
+  m_context.pool.AcquireFor(m_input.customer, *server, m_input.route.priority,
+                            m_send_deadline - m_context.timers.now(),
+                            [self = shared_from_this()](
+                                Result<BackendPool::ConnectionPtr> connection) {
+                              self->Acquired(std::move(connection));
+                            });
 }
 
 const BackendServer* LocalStatementExecution::ChooseServer() {
--- a/libraries/gateway/read_selection.cc
+++ b/libraries/gateway/read_selection.cc
@@ -12,8 +12,9 @@
 
 // Lower is better.
 std::tuple<bool, size_t, bool> CostOf(const ReadCandidate& candidate) {
-  const size_t load =
-      candidate.outstanding + (candidate.primary ? kPrimaryReserve : 0);
+  const size_t load = candidate.outstanding +
+                      (candidate.primary ? kPrimaryReserve : 0) +
+                      (candidate.connected ? 0 : 1);
   return {candidate.unreachable, load, !candidate.same_zone};
 }
 
--- a/libraries/gateway/read_selection.h
+++ b/libraries/gateway/read_selection.h
@@ -15,6 +15,9 @@
   bool same_zone = false;
   // Connections in use plus requests waiting for one.
   size_t outstanding = 0;
+  // A connection of the read's customer is idle; otherwise one must be opened,
+  // which takes one of the instance's slots.
+  bool connected = true;
   // Opening a connection failed recently, or this proxy's zone is partitioned
   // and the instance is in another zone.
   bool unreachable = false;
--- a/libraries/gateway/relayed_statement_execution.cc
+++ b/libraries/gateway/relayed_statement_execution.cc
@@ -93,11 +93,12 @@
   m_holder = holder->name;
   const BackendServer target = MakeRelayServer(
       *holder, m_input.route.database, m_input.route.last_changed_version);
-  m_context.peer_pool.Acquire(target, m_input.route.priority,
-                              std::min(kAcquireTimeout, m_send_deadline - now),
-                              [self = shared_from_this()](auto connection) {
-                                self->Acquired(std::move(connection));
-                              });
+  m_context.peer_pool.AcquireFor(
+      m_input.customer, target, m_input.route.priority,
+      std::min(kAcquireTimeout, m_send_deadline - now),
+      [self = shared_from_this()](auto connection) {
+        self->Acquired(std::move(connection));
+      });
 }
 
 void RelayedStatementExecution::Acquired(
--- a/libraries/gateway/statement_execution.h
+++ b/libraries/gateway/statement_execution.h
@@ -19,6 +19,8 @@
   struct Input {
     ClientStatement statement;
     Route route;
+    // The customer whose connections are used; empty without customers.
+    CustomerName customer;
     Transaction transaction = Transaction::kNone;
     // Set for the execution of a prepared statement.
     std::optional<PreparedStatement> prepared;
--- a/tests/gateway/acknowledged_positions_test.cc
+++ b/tests/gateway/acknowledged_positions_test.cc
@@ -218,8 +218,10 @@
   host.Start();
   timers.Advance(1s);
   ReplyCode code = ReplyCode::kOther;
-  const auto session = host.OpenSession(
-      "db", [&code](const ClientReply& reply) { code = reply.code; });
+  const auto session =
+      host.OpenSession("db", "",
+                       [&code](const ClientReply& reply) { code = reply.code; })
+          .value();
   session->Handle(StatementOf(ClientStatement::Kind::kWrite, "WRITE 1 x"));
   timers.Advance(50ms);
   cr_assert_eq(code, ReplyCode::kDone);
--- a/tests/gateway/host_test.cc
+++ b/tests/gateway/host_test.cc
@@ -99,9 +99,11 @@
     size_t served = 0;
     for (Duration passed = 0ms; passed < time; passed += 20ms) {
       const auto session =
-          host.OpenSession("db", [&served](const ClientReply& reply) {
-            served += reply.code == ReplyCode::kDone ? 1 : 0;
-          });
+          host.OpenSession("db", "",
+                           [&served](const ClientReply& reply) {
+                             served += reply.code == ReplyCode::kDone ? 1 : 0;
+                           })
+              .value();
       sessions.push_back(session);
       session->Handle(StatementOf(ClientStatement::Kind::kRead, "READ 1"));
       timers.Advance(20ms);
@@ -254,7 +256,7 @@
   if (lost)
     rig.store.on_server_changes(RecordChanges{{{{"c", 6, ""}, true}}, 6});
   rig.timers.Advance(1s);
-  rig.host.OpenSession("db", [](const ClientReply&) {});
+  cr_assert(rig.host.OpenSession("db", "", [](const ClientReply&) {}));
   cr_expect_gt(rig.Read(1s), 0U);
   cr_expect(rig.group.promotions.empty());
 
--- a/tests/support/replicated_world.cc
+++ b/tests/support/replicated_world.cc
@@ -551,14 +551,17 @@
   statement.kind =
       write ? ClientStatement::Kind::kWrite : ClientStatement::Kind::kRead;
   statement.text = write ? "WRITE 1 x" : "READ 1";
-  const auto session = entry.host.OpenSession(
-      aged ? "aged" : "strict", [this, write](const ClientReply& reply) {
-        if (reply.code != ReplyCode::kDone)
-          return;
-        ++(write ? m_writes_done : m_reads_done);
-        if (write)
-          Acknowledged(std::stoull(reply.signature));
-      });
+  const auto session =
+      entry.host
+          .OpenSession(aged ? "aged" : "strict", "",
+                       [this, write](const ClientReply& reply) {
+                         if (reply.code != ReplyCode::kDone)
+                           return;
+                         ++(write ? m_writes_done : m_reads_done);
+                         if (write)
+                           Acknowledged(std::stoull(reply.signature));
+                       })
+          .value();
   if (!write)
     m_reads[statement.id.value()] = {m_timers.now(),
                                      aged ? kMaxStaleness : Duration(0)};
