--- a/tests/gateway/fake_group.h
+++ b/tests/gateway/fake_group.h
@@ -72,6 +72,10 @@
   Duration answer_time = kAnswerTime;
   // Number of connections opened to instances.
   size_t opened = 0;
+  // For whom each of them was opened.
+  std::vector<CustomerName> opened_for;
+  // For whom the connection was opened on which a client's request ran last.
+  std::map<std::string, CustomerName> ran_for;
   // Runs before a promotion request takes effect; null: nothing runs.
   std::function<void()> before_promotion;
 
@@ -89,9 +93,10 @@
 // A connection to an instance of a FakeGroup.
 class FakeGroup::Session : public BackendSession {
  public:
-  Session(FakeGroup& group, Instance& instance)
+  Session(FakeGroup& group, Instance& instance, CustomerName customer)
       : m_group(group),
         m_instance(instance),
+        m_customer(std::move(customer)),
         m_alive(std::make_shared<bool>(true)) {}
   ~Session() override { Close(); }
 
@@ -125,6 +130,8 @@
       }
       const bool before = m_in_transaction;
       replies.push_back(m_group.Answer(m_instance, m_in_transaction, command));
+      if (!command.id.empty() && replies.back().code == ReplyCode::kDone)
+        m_group.ran_for[command.id.value()] = m_customer;
       if (!before && m_in_transaction)
         ++m_instance.open_transactions;
       if (before && !m_in_transaction)
@@ -141,6 +148,7 @@
 
   FakeGroup& m_group;
   Instance& m_instance;
+  const CustomerName m_customer;
   std::shared_ptr<bool> m_alive;
   bool m_in_transaction = false;
 };
@@ -217,7 +225,8 @@
   return [this](const BackendServer& server, Duration timeout, auto on_open) {
     Instance& instance = m_instances.at(server.id);
     m_timers.After(instance.silent ? timeout : kAnswerTime,
-                   [this, &instance, on_open = std::move(on_open)] {
+                   [this, &instance, customer = server.customer,
+                    on_open = std::move(on_open)] {
                      if (instance.silent) {
                        const Error error{ErrorCode::kTimeout, "fake", "", ""};
                        return on_open(error);
@@ -227,8 +236,9 @@
                        return on_open(error);
                      }
                      ++opened;
+                     opened_for.push_back(customer);
                      on_open(std::unique_ptr<BackendSession>(
-                         std::make_unique<Session>(*this, instance)));
+                         std::make_unique<Session>(*this, instance, customer)));
                    });
   };
 }
--- a/tests/platform/codecs_test.cc
+++ b/tests/platform/codecs_test.cc
@@ -53,6 +53,30 @@
   cr_expect_eq("QUERY 1 " + statement->text, std::string(row.line));
 }
 
+// Who connects: a client says its key, a proxy the customer it relays for, and
+// an instance is told the customer.
+Test(platform_lines, startups) {
+  const auto client = DecodeClientLine("STARTUP db key-1");
+  cr_assert(client.has_value());
+  cr_expect_str_eq(std::get<ClientStartup>(client.value()).api_key.c_str(),
+                   "key-1");
+  const auto peer = DecodeRelayedLine("STARTUP db ann vm/17/db");
+  cr_assert(peer.has_value());
+  const auto& startup = std::get<ClientStartup>(peer.value());
+  cr_expect_str_eq(startup.customer.value().c_str(), "ann");
+  cr_expect_str_eq(startup.relay_destination.c_str(), "vm/17/db");
+  const auto own = DecodeRelayedLine("STARTUP db jackdawturn vm/17/db");
+  cr_expect(std::get<ClientStartup>(own.value()).customer.empty());
+  BackendServer server;
+  server.id = InstanceName("i-1");
+  server.group = GroupName("s");
+  const std::string unnamed = EncodeBackendStartup(server);
+  cr_expect_str_eq(unnamed.c_str(), "STARTUP s jackdawturn i-1\r\n");
+  server.customer = CustomerName("ann");
+  const std::string named = EncodeBackendStartup(server);
+  cr_expect_str_eq(named.c_str(), "STARTUP s ann i-1\r\n");
+}
+
 static const char* const kBadLines[] = {"", " ", "STARTUP", "QUERY", "HELLO x"};
 
 TABLE_TEST(platform_lines, other_lines_are_refused, kBadLines) {
@@ -216,6 +240,75 @@
   cr_expect_eq(config.value().groups.at(GroupName("s")).connections, 16U);
 }
 
+// Customers as the operator writes them, between a good configuration's other
+// members.
+static Result<GatewayConfig> DecodeWithCustomers(const std::string& customers) {
+  return DecodeGatewayConfig(
+      {"main", 3,
+       R"({"Version":7,"Routes":[],"Services":[],"Limits":{},"Tenants":)" +
+           customers + "}"});
+}
+
+struct BadCustomersCase {
+  const char* customers;
+  const char* pointer;
+};
+
+static const BadCustomersCase kBadCustomers[] = {
+    {"7", "/Tenants:"},
+    {"[7]", "/Tenants/0:"},
+    {R"([{"ApiKeys":["secret"]}])", "/Tenants/0/Name:"},
+    {R"([{"Name":""}])", "/Tenants/0/Name:"},
+    {R"([{"Name":"two words"}])", "/Tenants/0/Name:"},
+    {R"([{"Name":"jackdawturn"}])", "/Tenants/0/Name:"},
+    {R"([{"Name":"a"},{"Name":"a"}])", "/Tenants/1/Name:"},
+    {R"([{"Name":"a","ApiKeys":"secret"}])", "/Tenants/0/ApiKeys:"},
+    {R"([{"Name":"a","ApiKeys":["k",7]}])", "/Tenants/0/ApiKeys/1:"},
+    {R"([{"Name":"a","ApiKeys":[""]}])", "/Tenants/0/ApiKeys/0:"},
+    {R"([{"Name":"a","ApiKeys":["secret"]},{"Name":"b","ApiKeys":["secret"]}])",
+     "/Tenants/1/ApiKeys/0:"},
+    {R"([{"Name":"a","RatePerS":-1}])", "/Tenants/0/RatePerS:"},
+    {R"([{"Name":"a","RatePerS":1e300}])", "/Tenants/0/RatePerS:"},
+    {R"([{"Name":"a","RatePerS":"5"}])", "/Tenants/0/RatePerS:"},
+    {R"([{"Name":"a","RatePerS":5,"Burst":-0.5}])", "/Tenants/0/Burst:"},
+};
+
+// A configuration that is wrong must be refused with the place of the fault,
+// and no message may show a key.
+TABLE_TEST(platform_records, wrong_customers, kBadCustomers) {
+  const BadCustomersCase& row = kBadCustomers[*row_index];
+  const auto config = DecodeWithCustomers(row.customers);
+  cr_assert(!config.has_value(), "%s", row.customers);
+  cr_expect(config.error().message.starts_with(row.pointer), "%s: %s",
+            row.customers, config.error().message.c_str());
+  cr_expect(config.error().message.find("secret") == std::string::npos);
+}
+
+Test(platform_records, customers) {
+  const auto config = DecodeWithCustomers(
+      R"([{"Name":"a","ApiKeys":["k1","k2"],"RatePerS":12.5,"Burst":3},)"
+      R"({"Name":"b","ApiKeys":[],"Priority":1},{"Name":"c"}])");
+  cr_assert(config.has_value());
+  cr_expect(config.value().requires_api_keys);
+  cr_expect_eq(config.value().customers.size(), 3U);
+  const auto& limit = config.value().customers.at(CustomerName("a")).limit;
+  cr_assert(limit.has_value());
+  cr_expect(*limit == (RateLimit{12.5, 3}));
+  cr_expect(!config.value().customers.at(CustomerName("b")).limit);
+  const CustomerName* holder = config.value().FindKeyHolder(DigestApiKey("k2"));
+  cr_assert_not_null(holder);
+  cr_expect_str_eq(holder->value().c_str(), "a");
+  cr_expect_null(config.value().FindKeyHolder(DigestApiKey("")));
+}
+
+// Only a configuration that lists customers asks for keys.
+Test(platform_records, no_customers) {
+  const auto config = DecodeWithCustomers("null");
+  cr_assert(config.has_value());
+  cr_expect(!config.value().requires_api_keys);
+  cr_expect(DecodeWithCustomers("[]").value().requires_api_keys);
+}
+
 // One odd entry of another writer must not hide the others of a page, nor end
 // the process (reported by operators of other systems).
 struct OddEntryCase {
