Gateway: Let the largest proxies of a zone hold most groups

Cause: holders were drawn in proportion to the processor share, so that among two proxies with half a core and twenty with an eighth most groups of a zone depended on a small one. Change: the weight in a proxy's record is the cube of its share; equal proxies share groups as before. Result: not built or measured yet.

--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -36,7 +36,7 @@
     // The address at which other proxies may watch the collections of the
     // store.
     std::string records_address;
-    // This proxy's share of processor time, relative to other proxies.
+    // See HolderWeight().
     double weight = 1;
     // How long one watch of each collection waits for changes.
     Duration configuration_wait = std::chrono::milliseconds(1'500);
--- a/libraries/gateway/peer_directory.cc
+++ b/libraries/gateway/peer_directory.cc
@@ -40,6 +40,11 @@
 
 }  // namespace
 
+double HolderWeight(double processor_share) {
+  constexpr double kExponent = 3;
+  return std::pow(processor_share, kExponent);
+}
+
 Result<Peer> DecodePeer(const std::string& name, const std::string& body) {
   TRY(const boost::json::value value, ParseJson(body, kStep));
   TRY(const JsonFields fields, JsonFields::Create(value, kStep));
--- a/libraries/gateway/peer_directory.h
+++ b/libraries/gateway/peer_directory.h
@@ -29,6 +29,12 @@
   uint64_t incarnation = 0;
 };
 
+// Returns the weight of a proxy for holding groups, by its share of a core.
+// It grows faster than the share, because a holder carries the statements of a
+// whole zone: a few large proxies should hold most groups beside many small
+// ones. Precondition: processor_share > 0. Thread-safe.
+double HolderWeight(double processor_share);
+
 // Decodes a peer's record. Errors: kInvalidArgument. Thread-safe.
 Result<Peer> DecodePeer(const std::string& name, const std::string& body);
 // Returns the body of a peer's record. Thread-safe.
--- a/programs/jackdawturn/gateway_command.cc
+++ b/programs/jackdawturn/gateway_command.cc
@@ -44,7 +44,7 @@
                 .seed = std::random_device()(),
                 .relay_address = settings.relay.ToString(),
                 .records_address = settings.metrics.ToString(),
-                .weight = settings.processor_share,
+                .weight = HolderWeight(settings.processor_share),
                 .configuration_wait =
                     settings.configuration_limit / kWatchesInLimit,
                 .servers_wait = settings.departure_limit / kWatchesInLimit,
--- a/tests/gateway/peers_test.cc
+++ b/tests/gateway/peers_test.cc
@@ -156,6 +156,45 @@
   cr_expect_lt(held, kGroups * 73 / 100);
 }
 
+// Statements of a whole zone must not depend on one of many small proxies while
+// large ones have room (load: 22 proxies in a zone, two of them with four times
+// the processor time of the others).
+struct CapacityCase {
+  double large;
+  double small;
+  size_t large_proxies;
+  size_t small_proxies;
+  // The share of groups that the large proxies hold, in percent.
+  size_t at_least;
+  size_t at_most;
+};
+
+static const CapacityCase kCapacities[] = {
+    {0.5, 0.12, 2, 20, 85, 97},
+    {0.5, 0.25, 1, 2, 72, 88},
+    // Equal proxies share the groups equally.
+    {0.25, 0.25, 2, 2, 45, 55},
+};
+
+TABLE_TEST(gateway_peers, large_proxies_hold_most_groups, kCapacities) {
+  const CapacityCase& row = kCapacities[*row_index];
+  std::vector<Peer> fleet = MakeFleet(row.large_proxies + row.small_proxies);
+  std::erase_if(fleet,
+                [](const Peer& peer) { return peer.zone != ZoneName("a"); });
+  for (size_t index = 0; index < fleet.size(); ++index)
+    fleet[index].weight =
+        HolderWeight(index < row.large_proxies ? row.large : row.small);
+  size_t held = 0;
+  constexpr size_t kGroups = 1'000;
+  for (size_t index = 0; index < row.large_proxies; ++index) {
+    auto directory = MakePeerDirectory(fleet[index].name.value(), fleet);
+    for (size_t group = 0; group < kGroups; ++group)
+      held += directory.Holds(GroupName(std::to_string(group)), 1) ? 1 : 0;
+  }
+  cr_expect_geq(held, kGroups * row.at_least / 100);
+  cr_expect_leq(held, kGroups * row.at_most / 100);
+}
+
 // A malformed record must be rejected instead of yielding a peer with default
 // values.
 static const char* const kBadPeers[] = {
