--- a/cmake/jackdawturn.cmake
+++ b/cmake/jackdawturn.cmake
@@ -41,7 +41,7 @@
 function(jackdawturn_add_tests)
   file(GLOB folders CONFIGURE_DEPENDS LIST_DIRECTORIES true ${CMAKE_SOURCE_DIR}/tests/*)
   set(all_libraries "")
-  foreach(name core http charts sessions routing requests failover fleet targets
+  foreach(name core http rate_limits charts sessions routing requests failover fleet targets
           settings observe standins ports port_fakes standin_servers proxy
         runtime gateway record_feed platform soak)
     if(TARGET ${name})
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "gateway/claims_view.h"                  // IWYU pragma: export
 #include "gateway/client_session.h"               // IWYU pragma: export
 #include "gateway/commit_confirmation.h"          // IWYU pragma: export
+#include "gateway/customer_limits.h"              // IWYU pragma: export
 #include "gateway/drain_schedule.h"               // IWYU pragma: export
 #include "gateway/gateway_context.h"              // IWYU pragma: export
 #include "gateway/gateway_host.h"                 // IWYU pragma: export
@@ -18,6 +19,7 @@
 #include "gateway/group_members.h"                // IWYU pragma: export
 #include "gateway/instance_status.h"              // IWYU pragma: export
 #include "gateway/lease_renewal.h"                // IWYU pragma: export
+#include "gateway/limit_messages.h"               // IWYU pragma: export
 #include "gateway/local_statement_execution.h"    // IWYU pragma: export
 #include "gateway/metadata_store.h"               // IWYU pragma: export
 #include "gateway/other_zone_reachability.h"      // IWYU pragma: export
--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -133,6 +133,39 @@
                                     CommitConfirmation::OnDecision then) {
     m_commit_confirmation.Confirm(group, position, deadline, std::move(then));
   };
+  if (m_ports.ask_limits)
+    LimitCustomers();
+}
+
+void GatewayHost::LimitCustomers() {
+  const auto find_limit =
+      [this](const CustomerName& customer) -> std::optional<RateLimit> {
+    if (!m_context.config)
+      return std::nullopt;
+    const auto found = m_context.config->customers.find(customer);
+    return found == m_context.config->customers.end() ? std::nullopt
+                                                      : found->second.limit;
+  };
+  m_customer_limits = CustomerLimits::Create(
+      {.name = m_options.name, .started = m_ports.timers.now()},
+      {.timers = m_ports.timers,
+       .peers = m_peers,
+       .log = m_log,
+       .find_limit = find_limit,
+       .ask = m_ports.ask_limits});
+  m_context.admit_operation = [this](const CustomerName& customer,
+                                     TimePoint deadline,
+                                     CustomerLimits::OnDecision then) {
+    m_customer_limits->Admit(customer, deadline, std::move(then));
+  };
+}
+
+void GatewayHost::AnswerLimitQuestion(
+    const LimitQuestion& question,
+    std::function<void(LimitAnswer)> respond) {
+  if (!m_customer_limits)
+    return respond({});
+  m_customer_limits->Answer(question, std::move(respond));
 }
 
 void GatewayHost::Start() {
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -10,6 +10,7 @@
 
 #include "gateway/client_session.h"
 #include "gateway/commit_confirmation.h"
+#include "gateway/customer_limits.h"
 #include "gateway/gateway_context.h"
 #include "gateway/group_members.h"
 #include "gateway/lease_renewal.h"
@@ -59,6 +60,8 @@
     WatchAtPeer watch_at_peer;
     // Null: changes of a primary are not announced to other proxies.
     AnnounceToPeer announce;
+    // Null: customers are not limited.
+    AskLimitsOfPeer ask_limits;
   };
 
   // The ports and `log` outlive this.
@@ -101,6 +104,11 @@
   // Another proxy tells of a change of a primary.
   AnnouncementAnswer ChangeAnnounced(const ChangeAnnouncement& announcement);
 
+  // Answers the question of another proxy about a customer's rate limit. Calls
+  // `respond` once.
+  void AnswerLimitQuestion(const LimitQuestion& question,
+                           std::function<void(LimitAnswer)> respond);
+
   // Serves the watches of other proxies.
   SharedWatches& watches() { return m_watches; }
 
@@ -149,6 +157,10 @@
   void PeersListed(const RecordList& list);
   void PeerChanged(const RecordChange& change);
   std::optional<Peer> DecodePeerRecord(const StoredRecord& record);
+  // Keeps customers to the limits of the configuration in force.
+  void LimitCustomers();
+  // Logs how many customers' limits the configuration in force has changed.
+  void LogLimitChanges(const GatewayConfig& earlier);
   BackendPool::Options PoolOptions();
   static BackendPool::Options PeerPoolOptions();
   // Returns the additional delay before this proxy starts a primary change of
@@ -183,6 +195,8 @@
   GatewayContext m_context;
   LeaseRenewal m_lease_renewal;
   CommitConfirmation m_commit_confirmation;
+  // Null without the port for it.
+  std::shared_ptr<CustomerLimits> m_customer_limits;
   SharedWatches m_watches;
   StoreRetries m_store_retries;
   StoreSync m_configuration_sync;
--- a/libraries/gateway/gateway_host_records.cc
+++ b/libraries/gateway/gateway_host_records.cc
@@ -31,8 +31,9 @@
     return;
   for (auto& [database, route] : decoded.value().routes)
     route.last_changed_version = decoded.value().version;
-  if (m_context.config)
-    decoded.value().InheritRouteVersions(*m_context.config);
+  const auto earlier = m_context.config;
+  if (earlier)
+    decoded.value().InheritRouteVersions(*earlier);
   m_context.config =
       std::make_shared<const GatewayConfig>(std::move(decoded.value()));
   m_log.LogStateChange(
@@ -41,10 +42,25 @@
        {"revision", std::to_string(record.revision)},
        {"routes", std::to_string(m_context.config->routes.size())},
        {"customers", std::to_string(m_context.config->customers.size())}});
+  if (earlier)
+    LogLimitChanges(*earlier);
   for (const auto& action : std::exchange(m_awaiting_configuration, {}))
     action();
 }
 
+void GatewayHost::LogLimitChanges(const GatewayConfig& earlier) {
+  size_t changed = 0;
+  for (const auto& [name, customer] : m_context.config->customers) {
+    const auto found = earlier.customers.find(name);
+    if (found != earlier.customers.end() &&
+        found->second.limit != customer.limit)
+      ++changed;
+  }
+  if (changed > 0)
+    m_log.LogStateChange(EventKind::kTargets, GroupName(), "limits_changed", "",
+                         {{"customers", std::to_string(changed)}});
+}
+
 void GatewayHost::ServersListed(const RecordList& list) {
   std::set<InstanceName> unlisted = m_directory.AllInstanceIds();
   size_t listed = 0;
--- a/libraries/gateway/gateway_log.cc
+++ b/libraries/gateway/gateway_log.cc
@@ -85,6 +85,29 @@
       .Add();
 }
 
+LimitSeries GatewayLog::FindLimitSeries() {
+  const auto operations = [this](const char* result) -> MetricCounter& {
+    return m_metrics.FindCounter("jackdawturn_limited_operations_total",
+                                 "Operations of customers with a rate limit.",
+                                 {{"result", result}});
+  };
+  const auto permits = [this](const char* event) -> MetricCounter& {
+    return m_metrics.FindCounter("jackdawturn_permits_total",
+                                 "Permits for operations under a rate limit.",
+                                 {{"event", event}});
+  };
+  return {.admitted = operations("admitted"),
+          .refused = operations("refused"),
+          .asked = permits("asked"),
+          .granted = permits("granted"),
+          .expired = permits("expired"),
+          .borrowed = permits("borrowed"),
+          .lent = permits("lent"),
+          .unreachable = m_metrics.FindCounter(
+              "jackdawturn_limit_questions_unanswered_total",
+              "Questions about rate limits that a proxy did not answer.", {})};
+}
+
 void GatewayLog::Write(TimelineEvent event) {
   m_metrics
       .FindCounter(
--- a/libraries/gateway/gateway_log.h
+++ b/libraries/gateway/gateway_log.h
@@ -10,6 +10,23 @@
 
 namespace jackdawturn::gateway {
 
+// The counters of the rate limits of all customers together. There is none for
+// a single customer, because there may be many thousands.
+struct LimitSeries {
+  // Operations of customers with a limit.
+  MetricCounter& admitted;
+  MetricCounter& refused;
+  // Permits that this proxy asked for, received and did not use in time.
+  MetricCounter& asked;
+  MetricCounter& granted;
+  MetricCounter& expired;
+  // Permits that this proxy, as grantor of its zone, exchanged with others.
+  MetricCounter& borrowed;
+  MetricCounter& lent;
+  // Questions to other proxies that were not answered.
+  MetricCounter& unreachable;
+};
+
 // Logs the decisions of a gateway and counts them. The log and the registry
 // must outlive this object. Thread safety: not thread-safe.
 class GatewayLog {
@@ -46,6 +63,9 @@
   // Counts an acknowledged commit that a later primary lacks or, if that is not
   // `proven`, may lack.
   void CountMissingCommit(bool proven);
+  // Returns the counters of rate limits, which are valid as long as the
+  // registry.
+  LimitSeries FindLimitSeries();
 
  private:
   // The metric series of one outcome, cached to avoid a look-up for each
--- a/libraries/gateway/peer_directory.cc
+++ b/libraries/gateway/peer_directory.cc
@@ -27,14 +27,19 @@
 // Ranks the proxies that may watch the store for their zone. No group has this
 // name.
 const GroupName kWatchKey(" watch");
+// Ranks the proxies that may grant permits apart from those that may hold
+// connections to a group of the same name.
+constexpr const char* kGrantKeyPrefix = " limit ";
+// Number of proxies of one zone that are tried in turn as grantor.
+constexpr size_t kGrantCandidates = 8;
 constexpr char kSeparator = '/';
 
 // Weighted rendezvous hashing: the peer with the highest score is preferred,
-// for a share of the groups that is proportional to its weight.
-double RendezvousScore(const Peer& peer, const GroupName& group) {
+// for a share of the keys that is proportional to its weight.
+double RendezvousScore(const Peer& peer, const std::string& key) {
   constexpr double kHashRange = 18446744073709551616.0;
   const auto hash =
-      static_cast<double>(RendezvousWeight(group.value(), peer.name.value()));
+      static_cast<double>(RendezvousWeight(key, peer.name.value()));
   return -peer.weight / std::log((hash + 0.5) / kHashRange);
 }
 
@@ -144,6 +149,11 @@
         return !peer.leaving && peer.zone == m_zone &&
                !peer.records_address.empty();
       }));
+  std::set<ZoneName> zones;
+  for (const auto& [name, peer] : m_peers)
+    zones.insert(peer.zone);
+  zones.erase(m_zone);
+  m_other_zones.assign(zones.begin(), zones.end());
 }
 
 void PeerDirectory::Suspect(const VmName& name, TimePoint now) {
@@ -151,6 +161,8 @@
   // Failures while the peer is already suspected count as one.
   if (suspicion.until > now)
     return;
+  if (suspicion.failures == 0)
+    suspicion.since = now;
   suspicion.until =
       now + kSuspectTime * (1 << std::min(suspicion.failures, kMaxDoublings));
   ++suspicion.failures;
@@ -178,7 +190,7 @@
   std::map<ZoneName, std::vector<std::pair<double, VmName>>> zones;
   for (const auto& [name, peer] : m_peers) {
     if (!peer.leaving)
-      zones[peer.zone].emplace_back(RendezvousScore(peer, group), name);
+      zones[peer.zone].emplace_back(RendezvousScore(peer, group.value()), name);
   }
   std::vector<HolderOrder> holders(1);
   for (auto& [zone, scored] : zones) {
@@ -268,6 +280,70 @@
   return nullptr;
 }
 
+std::vector<const Peer*> PeerDirectory::GrantCandidates(
+    const ZoneName& zone,
+    const CustomerName& customer,
+    size_t count,
+    const std::function<bool(const Peer&)>& accepted) const {
+  const std::string key = kGrantKeyPrefix + customer.value();
+  std::vector<std::pair<double, const Peer*>> scored;
+  for (const auto& [name, peer] : m_peers) {
+    if (peer.zone == zone && !peer.leaving && !peer.records_address.empty() &&
+        accepted(peer))
+      scored.emplace_back(RendezvousScore(peer, key), &peer);
+  }
+  const size_t kept = std::min(scored.size(), count);
+  std::partial_sort(scored.begin(),
+                    scored.begin() + static_cast<ptrdiff_t>(kept), scored.end(),
+                    [](const auto& left, const auto& right) {
+                      return left.first != right.first
+                                 ? left.first > right.first
+                                 : left.second->name > right.second->name;
+                    });
+  std::vector<const Peer*> candidates;
+  for (size_t index = 0; index < kept; ++index)
+    candidates.push_back(scored[index].second);
+  return candidates;
+}
+
+const Peer* PeerDirectory::ChooseGrantor(const CustomerName& customer,
+                                         TimePoint now) const {
+  for (const Peer* peer : GrantCandidates(m_zone, customer, kGrantCandidates,
+                                          [](const Peer&) { return true; })) {
+    // Candidates later in the order ask this proxy.
+    if (peer->name == m_self)
+      return nullptr;
+    if (Usable(peer->name, now))
+      return peer;
+  }
+  return nullptr;
+}
+
+const Peer* PeerDirectory::ChooseGrantorOf(const ZoneName& zone,
+                                           const CustomerName& customer,
+                                           TimePoint now) const {
+  for (const Peer* peer : GrantCandidates(zone, customer, kGrantCandidates,
+                                          [](const Peer&) { return true; })) {
+    if (Usable(peer->name, now))
+      return peer;
+  }
+  return nullptr;
+}
+
+std::vector<VmName> PeerDirectory::GrantVoters(const CustomerName& customer,
+                                               TimePoint now) const {
+  const auto not_lost = [this, now](const Peer& peer) {
+    const auto suspicion = m_suspicions.find(peer.name);
+    return suspicion == m_suspicions.end() ||
+           now - suspicion->second.since < kVoterLossTime;
+  };
+  std::vector<VmName> voters;
+  for (const Peer* peer :
+       GrantCandidates(m_zone, customer, kGrantVoters, not_lost))
+    voters.push_back(peer->name);
+  return voters;
+}
+
 std::vector<const Peer*> PeerDirectory::OneOfEachOtherZone(
     std::mt19937_64& random) const {
   std::map<ZoneName, std::vector<const Peer*>> zones;
--- a/libraries/gateway/peer_directory.h
+++ b/libraries/gateway/peer_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -66,6 +67,11 @@
   // further failure, up to 32 times as long.
   static constexpr Duration kSuspectTime = std::chrono::milliseconds(1'500);
 
+  // With three voters, any two majorities share one, and one may be lost.
+  static constexpr size_t kGrantVoters = 3;
+  // A partition that lasts as long may give a zone two grantors.
+  static constexpr Duration kVoterLossTime = std::chrono::seconds(20);
+
   PeerDirectory(VmName self, ZoneName zone);
 
   // Replaces all peers by those listed in the store.
@@ -106,6 +112,22 @@
   std::vector<Peer> PossibleHolders(const GroupName& group,
                                     size_t instance_connections);
 
+  // Returns the proxy of this zone to ask for permits of a customer with a rate
+  // limit, or null when this proxy is to grant them itself.
+  const Peer* ChooseGrantor(const CustomerName& customer, TimePoint now) const;
+  // Returns the proxy of another zone to ask, or null if none is usable.
+  const Peer* ChooseGrantorOf(const ZoneName& zone,
+                              const CustomerName& customer,
+                              TimePoint now) const;
+  // Returns the proxies of this zone that vote on who grants a customer's
+  // permits, at most kGrantVoters of them. One that has not answered for
+  // kVoterLossTime is replaced as voter.
+  std::vector<VmName> GrantVoters(const CustomerName& customer,
+                                  TimePoint now) const;
+  // Returns the number of zones, from 1 on.
+  size_t zone_count() const { return m_other_zones.size() + 1; }
+  const std::vector<ZoneName>& other_zones() const { return m_other_zones; }
+
   // Returns one peer of each other zone that is not leaving, chosen at random.
   std::vector<const Peer*> OneOfEachOtherZone(std::mt19937_64& random) const;
   // Returns whether the peer is known and in this proxy's zone.
@@ -117,6 +139,7 @@
  private:
   struct Suspicion {
     unsigned failures = 0;
+    TimePoint since;
     TimePoint until;
   };
 
@@ -125,6 +148,14 @@
 
   // Returns the candidates of each zone, this proxy's zone first.
   const std::vector<HolderOrder>& HoldersByZone(const GroupName& group);
+  // Returns the proxies of a zone that may grant permits of a customer, the
+  // preferred one first, at most `count` of those that `accepted` returns true
+  // for.
+  std::vector<const Peer*> GrantCandidates(
+      const ZoneName& zone,
+      const CustomerName& customer,
+      size_t count,
+      const std::function<bool(const Peer&)>& accepted) const;
   bool Usable(const VmName& name, TimePoint now) const;
   // Updates the state derived from m_peers; called after each change of it.
   void RefreshDerivedState();
@@ -137,6 +168,7 @@
   size_t m_active_peers = 0;
   // Those of them in this proxy's zone that can be watched.
   size_t m_watchable_peers = 0;
+  std::vector<ZoneName> m_other_zones;
   std::map<VmName, Suspicion> m_suspicions;
   // Cache, filled from m_peers on demand.
   std::map<GroupName, std::vector<HolderOrder>> m_holders_by_group;
--- a/libraries/record_feed/record_feed.h
+++ b/libraries/record_feed/record_feed.h
@@ -53,6 +53,20 @@
                        const HttpRequest& request,
                        const HttpServer::Respond& respond);
 
+// The path to which questions about rate limits are sent.
+inline constexpr std::string_view kLimitsPath = "/limits";
+
+// Returns a function that asks about rate limits at the records addresses of
+// other proxies, over connections that are kept. It and all callbacks run on
+// the thread of `context`, which outlives it.
+AskLimitsOfPeer CreatePeerLimitsClient(boost::asio::io_context& context);
+
+// Passes a question about a rate limit on to `host` and answers it. Runs on the
+// thread of `host`.
+void ServeLimitQuestion(GatewayHost& host,
+                        const HttpRequest& request,
+                        const HttpServer::Respond& respond);
+
 // Answers a request for a feed from `watches`. Runs on the thread of `watches`.
 void ServeRecordFeed(SharedWatches& watches,
                      const HttpRequest& request,
--- a/programs/jackdawturn/gateway_command.cc
+++ b/programs/jackdawturn/gateway_command.cc
@@ -59,7 +59,8 @@
                 .decode_config = platform::DecodeGatewayConfig,
                 .decode_server = platform::DecodeServer,
                 .watch_at_peer = CreatePeerWatcher(m_context),
-                .announce = CreatePeerAnnouncer(m_context)},
+                .announce = CreatePeerAnnouncer(m_context),
+                .ask_limits = CreatePeerLimitsClient(m_context)},
                m_log) {}
 
   Result<int> Run() {
@@ -84,6 +85,8 @@
                    const HttpServer::Respond& respond) {
               if (request.target == kAnnouncementPath)
                 return ServeAnnouncement(m_host, request, respond);
+              if (request.target == kLimitsPath)
+                return ServeLimitQuestion(m_host, request, respond);
               if (request.target != "/metrics")
                 return ServeRecordFeed(m_host.watches(), request, respond);
               respond({.body = m_metrics.Render(),
--- a/tests/gateway/peers_test.cc
+++ b/tests/gateway/peers_test.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -197,4 +199,61 @@
   cr_assert(!RelayDestination::Parse(kBadDestinations[*row_index]).has_value());
 }
 
+// Guards against proxies of a zone that ask different grantors, and against one
+// that is asked although it is known not to answer or to be leaving.
+Test(gateway_peers, all_proxies_of_a_zone_agree_on_the_grantor) {
+  const CustomerName customer("museum");
+  auto fleet = MakeFleet(8);
+  for (Peer& peer : fleet)
+    peer.records_address = "10.0.0.1:2";
+  std::set<VmName> grantors;
+  for (const Peer& peer : fleet) {
+    const auto directory = MakePeerDirectory(peer.name.value(), fleet);
+    const Peer* grantor = directory.ChooseGrantor(customer, kStart);
+    if (peer.zone == ZoneName("a"))
+      grantors.insert(grantor ? grantor->name : peer.name);
+    const Peer* other =
+        directory.ChooseGrantorOf(ZoneName("a"), customer, kStart);
+    cr_assert_not_null(other);
+    grantors.insert(other->name);
+    cr_expect_eq(directory.zone_count(), 3U);
+  }
+  cr_assert_eq(grantors.size(), 1U);
+
+  const VmName first = *grantors.begin();
+  auto directory = MakePeerDirectory("b0", fleet);
+  directory.Suspect(first, kStart);
+  cr_expect_neq(
+      directory.ChooseGrantorOf(ZoneName("a"), customer, kStart)->name, first);
+  Peer leaving = *directory.Find(first);
+  leaving.leaving = true;
+  directory.Update(leaving);
+  cr_expect_neq(
+      directory.ChooseGrantorOf(ZoneName("a"), customer, kStart + 1h)->name,
+      first);
+}
+
+// Guards against voters that differ between proxies with the same list, against
+// voters that change with each suspicion, and against a customer whose voters
+// are gone for good.
+Test(gateway_peers, voters_change_only_with_the_list_or_a_long_loss) {
+  const CustomerName customer("museum");
+  auto fleet = MakeFleet(8);
+  for (Peer& peer : fleet)
+    peer.records_address = "10.0.0.1:2";
+  auto directory = MakePeerDirectory("a0", fleet);
+  const auto voters = directory.GrantVoters(customer, kStart);
+  cr_assert_eq(voters.size(), PeerDirectory::kGrantVoters);
+  cr_expect(MakePeerDirectory("a5", fleet).GrantVoters(customer, kStart) ==
+            voters);
+  directory.Suspect(voters[1], kStart);
+  cr_expect(directory.GrantVoters(customer, kStart + 1s) == voters);
+  const TimePoint late = kStart + PeerDirectory::kVoterLossTime;
+  const auto others = directory.GrantVoters(customer, late);
+  cr_expect_eq(others.size(), PeerDirectory::kGrantVoters);
+  cr_expect(std::find(others.begin(), others.end(), voters[1]) == others.end());
+  directory.Answered(voters[1]);
+  cr_expect(directory.GrantVoters(customer, late) == voters);
+}
+
 }  // namespace jackdawturn::gateway
