--- a/libraries/rate_limits/grantor.cc
+++ b/libraries/rate_limits/grantor.cc
@@ -95,7 +95,8 @@
                              TimePoint now) {
   Entry& entry = EntryOf(customer, share, now);
   const auto earlier = static_cast<double>(entry.refused.Count(now));
-  return entry.whole.TimeUntil(1 + earlier, kLongestRetry, now);
+  return std::max(entry.whole.TimeUntil(1 + earlier, kLongestRetry, now),
+                  kShortestRetry);
 }
 
 bool Grantor::Confirmed(const CustomerName& customer, TimePoint now) const {
--- a/libraries/rate_limits/grantor.h
+++ b/libraries/rate_limits/grantor.h
@@ -20,6 +20,8 @@
   static constexpr Duration kRenewalTime = std::chrono::milliseconds(500);
   // After votes were not obtained, they are asked for again after this time.
   static constexpr Duration kVoteRetry = std::chrono::milliseconds(100);
+  // Before, nothing can have changed: votes and loans are asked for again.
+  static constexpr Duration kShortestRetry = std::chrono::milliseconds(50);
   // The longest time after which a refused client is told to retry.
   static constexpr Duration kLongestRetry = std::chrono::seconds(5);
 
