--- a/cmake/jackdawturn.cmake
+++ b/cmake/jackdawturn.cmake
@@ -87,7 +87,7 @@
         add_dependencies(unit_tests test_${name})
       endif()
       # These folders' sources use the same names in unnamed namespaces.
-      if(name MATCHES "^(gateway|ports|programs|proxy|requests|runtime)$")
+      if(name MATCHES "^(gateway|ports|programs|proxy|rate_limits|requests|runtime)$")
         set_target_properties(test_${name} PROPERTIES UNITY_BUILD OFF)
       endif()
     endif()
