--- a/libraries/gateway/customer_limit_loans.cc
+++ b/libraries/gateway/customer_limit_loans.cc
@@ -13,7 +13,7 @@
 
 // Borrowed permits are used or lost within this time, so that they do not add
 // to those of a later time.
-constexpr Duration kLoanTime = 100ms;
+constexpr Duration kLoanTime = 50ms;
 constexpr Duration kLoanTimeout = 50ms;
 // After the other zones had nothing to lend.
 constexpr Duration kLoanRetry = 100ms;
--- a/libraries/gateway/customer_limits.cc
+++ b/libraries/gateway/customer_limits.cc
@@ -146,6 +146,15 @@
                                   m_ports.peers.zone_count());
 }
 
+bool CustomerLimits::IsVoter(const CustomerName& customer) const {
+  // The order of the voters is not needed then.
+  if (m_grantor.Confirmed(customer, now()))
+    return true;
+  const auto voters = m_ports.peers.GrantVoters(customer);
+  return std::find(voters.begin(), voters.end(), m_options.name) !=
+         voters.end();
+}
+
 void CustomerLimits::Decide(Request request) {
   const LimitQuestion& question = request.question;
   const auto share = ShareOf(question.customer);
@@ -155,7 +164,8 @@
   const auto round = m_vote_rounds.find(question.customer);
   const bool begin =
       round == m_vote_rounds.end() &&
-      m_grantor.BeginVotes(question.customer, *share, question.needed, now());
+      m_grantor.BeginVotes(question.customer, *share, question.needed,
+                           IsVoter(question.customer), now());
   if (confirmed || (!begin && round == m_vote_rounds.end())) {
     if (begin)
       CollectVotes(question.customer, *share, [] {});
@@ -176,13 +186,14 @@
   const LimitQuestion& question = request.question;
   if (question.kind == Kind::kLoan) {
     const size_t lent =
-        m_grantor.Lend(question.customer, share, question.wanted, now());
+        m_grantor.Lend(question.customer, share, question.wanted,
+                       IsVoter(question.customer), now());
     m_series.lent.Add(lent);
     m_activity.lent += lent;
     return request.then({.granted = lent});
   }
-  request.granted =
-      m_grantor.Grant(question.customer, share, question.wanted, now());
+  request.granted = m_grantor.Grant(question.customer, share, question.wanted,
+                                    IsVoter(question.customer), now());
   if (request.granted >= question.needed)
     return Finish(request, request.granted);
   Borrow(std::move(request));
@@ -203,7 +214,7 @@
                                   const BucketLimit& share,
                                   std::function<void()> then) {
   m_vote_rounds[customer].push_back(std::move(then));
-  const auto voters = m_ports.peers.GrantVoters(customer, now());
+  const auto voters = m_ports.peers.GrantVoters(customer);
   const auto round = std::make_shared<VoteRound>();
   round->share = share;
   round->asked_at = now();
@@ -214,6 +225,7 @@
   // itself, also when it is no voter any more.
   const auto own = m_votes.Ask(customer, m_options.name, now());
   round->refused = !own.given;
+  round->free_for = own.free_for;
   for (const VmName& voter : voters) {
     if (voter == m_options.name) {
       VoteCounted(customer, round, own);
--- a/libraries/gateway/customer_limits.h
+++ b/libraries/gateway/customer_limits.h
@@ -143,6 +143,9 @@
 
   std::optional<rate_limits::BucketLimit> ShareOf(
       const CustomerName& customer) const;
+  // Returns whether this proxy is one of the customer's voters, or has the
+  // votes of most.
+  bool IsVoter(const CustomerName& customer) const;
   void Sweep();
   void LogActivity();
 
--- a/libraries/gateway/peer_directory.cc
+++ b/libraries/gateway/peer_directory.cc
@@ -161,8 +161,6 @@
   // Failures while the peer is already suspected count as one.
   if (suspicion.until > now)
     return;
-  if (suspicion.failures == 0)
-    suspicion.since = now;
   suspicion.until =
       now + kSuspectTime * (1 << std::min(suspicion.failures, kMaxDoublings));
   ++suspicion.failures;
@@ -330,12 +328,12 @@
   return nullptr;
 }
 
-std::vector<VmName> PeerDirectory::GrantVoters(const CustomerName& customer,
-                                               TimePoint now) const {
-  const auto not_lost = [this, now](const Peer& peer) {
+std::vector<VmName> PeerDirectory::GrantVoters(
+    const CustomerName& customer) const {
+  const auto not_lost = [this](const Peer& peer) {
     const auto suspicion = m_suspicions.find(peer.name);
     return suspicion == m_suspicions.end() ||
-           now - suspicion->second.since < kVoterLossTime;
+           suspicion->second.failures < kVoterLossFailures;
   };
   std::vector<VmName> voters;
   for (const Peer* peer :
--- a/libraries/gateway/peer_directory.h
+++ b/libraries/gateway/peer_directory.h
@@ -69,8 +69,9 @@
 
   // With three voters, any two majorities share one, and one may be lost.
   static constexpr size_t kGrantVoters = 3;
-  // A partition that lasts as long may give a zone two grantors.
-  static constexpr Duration kVoterLossTime = std::chrono::seconds(20);
+  // With the time between failures, a loss of 22.5 s or longer. A partition
+  // within a zone that lasts as long may give it two grantors.
+  static constexpr unsigned kVoterLossFailures = 5;
 
   PeerDirectory(VmName self, ZoneName zone);
 
@@ -120,10 +121,9 @@
                               const CustomerName& customer,
                               TimePoint now) const;
   // Returns the proxies of this zone that vote on who grants a customer's
-  // permits, at most kGrantVoters of them. One that has not answered for
-  // kVoterLossTime is replaced as voter.
-  std::vector<VmName> GrantVoters(const CustomerName& customer,
-                                  TimePoint now) const;
+  // permits, at most kGrantVoters of them. One that has not answered
+  // kVoterLossFailures times is replaced as voter.
+  std::vector<VmName> GrantVoters(const CustomerName& customer) const;
   // Returns the number of zones, from 1 on.
   size_t zone_count() const { return m_other_zones.size() + 1; }
   const std::vector<ZoneName>& other_zones() const { return m_other_zones; }
@@ -139,7 +139,6 @@
  private:
   struct Suspicion {
     unsigned failures = 0;
-    TimePoint since;
     TimePoint until;
   };
 
--- a/libraries/rate_limits/grantor.cc
+++ b/libraries/rate_limits/grantor.cc
@@ -46,10 +46,12 @@
   return entry;
 }
 
-size_t Grantor::Available(const Entry& entry, TimePoint now) {
+size_t Grantor::Available(const Entry& entry, bool is_voter, TimePoint now) {
   const size_t whole = WholeTokens(entry.whole.Level(now));
   if (now < entry.confirmed_until)
     return whole;
+  if (!is_voter)
+    return 0;
   return std::min(whole, WholeTokens(entry.part.Level(now)));
 }
 
@@ -61,9 +63,10 @@
 size_t Grantor::Grant(const CustomerName& customer,
                       const BucketLimit& share,
                       size_t wanted,
+                      bool is_voter,
                       TimePoint now) {
   Entry& entry = EntryOf(customer, share, now);
-  const size_t count = std::min(wanted, Available(entry, now));
+  const size_t count = std::min(wanted, Available(entry, is_voter, now));
   Take(entry, count, now);
   entry.granted.Add(count, now);
   return count;
@@ -72,9 +75,10 @@
 size_t Grantor::Lend(const CustomerName& customer,
                      const BucketLimit& share,
                      size_t wanted,
+                     bool is_voter,
                      TimePoint now) {
   Entry& entry = EntryOf(customer, share, now);
-  const size_t available = Available(entry, now);
+  const size_t available = Available(entry, is_voter, now);
   const size_t reserve = entry.granted.Count(now);
   const size_t count =
       std::min(wanted, available - std::min(available, reserve));
@@ -107,12 +111,13 @@
 bool Grantor::BeginVotes(const CustomerName& customer,
                          const BucketLimit& share,
                          size_t wanted,
+                         bool is_voter,
                          TimePoint now) {
   Entry& entry = EntryOf(customer, share, now);
   const Duration left = entry.confirmed_until - now;
   const bool needed = left > Duration(0)
                           ? left < kRenewalTime
-                          : WholeTokens(entry.part.Level(now)) < wanted;
+                          : Available(entry, is_voter, now) < wanted;
   if (!needed || now < entry.next_vote)
     return false;
   entry.next_vote = now + kVoteRetry;
--- a/libraries/rate_limits/grantor.h
+++ b/libraries/rate_limits/grantor.h
@@ -15,7 +15,7 @@
 // other as grantor. Deterministic. Thread safety: not thread-safe.
 class Grantor {
  public:
-  static constexpr double kUnconfirmedPart = 0.25;
+  static constexpr double kUnconfirmedPart = 0.125;
   // Votes are renewed when less than this remains of them.
   static constexpr Duration kRenewalTime = std::chrono::milliseconds(500);
   // After votes were not obtained, they are asked for again after this time.
@@ -30,9 +30,12 @@
   explicit Grantor(TimePoint started) : m_started(started) {}
 
   // Returns how many of `wanted` operations may start, and takes their tokens.
+  // `is_voter`: whether this proxy is a voter; without votes, only voters
+  // grant, so that there are few of them.
   size_t Grant(const CustomerName& customer,
                const BucketLimit& share,
                size_t wanted,
+               bool is_voter,
                TimePoint now);
   // Returns how many of `wanted` operations another zone may start from this
   // zone's share, and takes their tokens. What this zone has recently needed
@@ -40,6 +43,7 @@
   size_t Lend(const CustomerName& customer,
               const BucketLimit& share,
               size_t wanted,
+              bool is_voter,
               TimePoint now);
   // Counts operations that were refused, for RetryAfter().
   void CountRefused(const CustomerName& customer, size_t count, TimePoint now);
@@ -56,6 +60,7 @@
   bool BeginVotes(const CustomerName& customer,
                   const BucketLimit& share,
                   size_t wanted,
+                  bool is_voter,
                   TimePoint now);
   // Called when most voters have given their votes to this proxy. `asked_at` is
   // when they were asked; `free_for` is the shortest of GrantVote::free_for.
@@ -87,7 +92,7 @@
   Entry& EntryOf(const CustomerName& customer,
                  const BucketLimit& share,
                  TimePoint now);
-  static size_t Available(const Entry& entry, TimePoint now);
+  static size_t Available(const Entry& entry, bool is_voter, TimePoint now);
   static void Take(Entry& entry, size_t count, TimePoint now);
 
   const TimePoint m_started;
--- a/libraries/rate_limits/permit_client.cc
+++ b/libraries/rate_limits/permit_client.cc
@@ -12,7 +12,7 @@
 constexpr Duration kIdleTime = std::chrono::seconds(2);
 // Permits are asked for in advance for 1/kAdvanceDivisor of the recent demand:
 // arrivals vary, and permits that expire are lost for the customer.
-constexpr size_t kAdvanceDivisor = 2;
+constexpr size_t kAdvanceDivisor = 4;
 
 }  // namespace
 
--- a/libraries/rate_limits/permit_client.h
+++ b/libraries/rate_limits/permit_client.h
@@ -41,7 +41,7 @@
   // A permit that is not used within this time of the question is dropped. It
   // is short against the time in which operations are counted, so that permits
   // of a time with little demand do not add to those of the time after.
-  static constexpr Duration kPermitTime = std::chrono::milliseconds(250);
+  static constexpr Duration kPermitTime = std::chrono::milliseconds(100);
 
   using OnDecision = std::function<void(PermitDecision)>;
   // Sends a question. Answered() is to be called once for it, at the latest at
