--- a/tests/support/limits_world.h
+++ b/tests/support/limits_world.h
@@ -19,7 +19,8 @@
   kNone,
   // Votes are given to every candidate.
   kVotesForAll,
-  // A voter says that nobody else had its vote before.
+  // Voters, and proxies that have restarted, say that nobody else had their
+  // vote before.
   kNewGrantorStartsFull,
   // A lender does not take the permits from its own share.
   kLoansNotSubtracted,
@@ -131,7 +132,9 @@
     started.alive = true;
     started.absent = false;
     started.peers = std::make_unique<PeerDirectory>(started.name, started.zone);
-    const bool forgotten = m_options.mutant == LimitsMutant::kVotesForAll;
+    const bool forgotten =
+        m_options.mutant == LimitsMutant::kVotesForAll ||
+        m_options.mutant == LimitsMutant::kNewGrantorStartsFull;
     CustomerLimits::Options options{
         .name = started.name,
         .started = forgotten ? now() - std::chrono::hours(1) : now()};
