Gateway: Log what the replicas say of commits while the store is away

The log named a commit that was not passed on, but not why: which replica had it, was paused, did not answer, or was connected to after the last contact with the store. One line for each change of these answers.

--- a/libraries/gateway/commit_confirmation.cc
+++ b/libraries/gateway/commit_confirmation.cc
@@ -93,15 +93,31 @@
         if (!*self)
           return;
         GatewayContext& context = (*self)->m_context;
+        const bool survives = SurvivesUnknownClaim(
+            answers, commit->position, context.claims.heard_until());
+        (*self)->LogAnswers(*commit, answers, survives);
         // A claim may have become known meanwhile.
-        if (!context.ChangePending(commit->group, commit->position.term) &&
-            SurvivesUnknownClaim(answers, commit->position,
-                                 context.claims.heard_until()))
+        if (survives &&
+            !context.ChangePending(commit->group, commit->position.term))
           return (*self)->Decide(commit, true);
         (*self)->CheckLater(commit);
       });
 }
 
+void CommitConfirmation::LogAnswers(const Commit& commit,
+                                    const ReplicaAnswers& answers,
+                                    bool survives) {
+  const std::string text = DescribeAnswers(answers, commit.position,
+                                           m_context.claims.heard_until());
+  if (std::exchange(m_logged_answers[commit.group], text) == text)
+    return;
+  m_context.log.LogStateChange(EventKind::kFailover, commit.group,
+                               "replicas_asked", "",
+                               {{"position", ToString(commit.position)},
+                                {"answers", text},
+                                {"survives", survives ? "yes" : "no"}});
+}
+
 bool CommitConfirmation::Survives(const Commit& commit) const {
   const PrimaryChangeRecord* last = m_context.changes.Last(commit.group);
   if (!last || last->attempt != commit.attempt || !last->ended ||
--- a/libraries/gateway/commit_confirmation.h
+++ b/libraries/gateway/commit_confirmation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -59,12 +60,18 @@
   void AskCandidate(const CommitPtr& commit, const InstanceName& candidate);
   // Asks the replicas whether a claim that is not known may lose the commit.
   void AskReplicas(const CommitPtr& commit);
+  // Logs what the replicas have answered when that has changed.
+  void LogAnswers(const Commit& commit,
+                  const ReplicaAnswers& answers,
+                  bool survives);
   bool Survives(const Commit& commit) const;
   void Decide(const CommitPtr& commit, bool survives);
 
   GatewayContext& m_context;
   InstanceStatus m_status;
   ReplicaConfirmation m_replicas;
+  // What was last logged of the replicas' answers.
+  std::map<GroupName, std::string> m_logged_answers;
   // Null once this object is destroyed; callbacks may run after that.
   std::shared_ptr<CommitConfirmation*> m_self;
 };
--- a/libraries/gateway/replica_confirmation.cc
+++ b/libraries/gateway/replica_confirmation.cc
@@ -59,6 +59,29 @@
              });
 }
 
+std::string DescribeAnswers(const ReplicaAnswers& answers,
+                            CommitPosition commit,
+                            std::optional<TimePoint> heard_until) {
+  std::string text;
+  for (const Result<InstanceAnswer>& answer : answers) {
+    text += text.empty() ? "" : " ";
+    if (!answer) {
+      text += std::string(ToString(answer.error().code));
+      continue;
+    }
+    const ReplicationStatus& status = answer.value().status;
+    if (Has(commit, status))
+      text += "has_it";
+    else
+      text += FollowsTermOf(commit, status) ? "lacks_it" : "other_term";
+    if (IsPaused(status))
+      text += "/paused";
+    if (!heard_until || answer.value().connected_at > *heard_until)
+      text += "/connected_later";
+  }
+  return text;
+}
+
 ReplicaConfirmation::ReplicaConfirmation(GatewayContext& context,
                                          ReadStatusRow read_status)
     : m_context(context),
--- a/libraries/gateway/replica_confirmation.h
+++ b/libraries/gateway/replica_confirmation.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "gateway/gateway_context.h"
@@ -26,6 +27,12 @@
                           CommitPosition commit,
                           std::optional<TimePoint> heard_until);
 
+// Describes for the log what each replica has answered about the commit, in the
+// terms of SurvivesUnknownClaim(). Thread-safe.
+std::string DescribeAnswers(const ReplicaAnswers& answers,
+                            CommitPosition commit,
+                            std::optional<TimePoint> heard_until);
+
 // Asks the replicas of a group about the commits that this proxy is to pass on
 // while it cannot rely on hearing of claims. Commits that are acknowledged
 // during a round share it. Load pattern: writes during an outage of the store,
