Gateway: Confirm commits and refuse statements sooner while the store is away

Cause: a replica counts as not restarted only by a connection from before the outage, and the pool lent the newest one, so that the old one idled until it was closed. With the other replica dark, every commit then ended as unknown at its deadline. Rounds also waited for dark replicas, and statements that could not be served were kept for 480 ms.

Change: the pool lends the connection that was opened first. The first answer that proves a commit ends its wait. Writes are refused before they are sent while no answer can prove one, and statements that need a primary once none was found and no change can end in time. A commit that is acknowledged during a round no longer uses answers older than itself, which could pass on a commit that is lost.

--- a/libraries/gateway/backend_pool.cc
+++ b/libraries/gateway/backend_pool.cc
@@ -44,15 +44,17 @@
   std::erase_if(instance.idle, [](const ConnectionPtr& connection) {
     return !connection->session->is_open();
   });
-  const auto found = std::find_if(
-      instance.idle.rbegin(), instance.idle.rend(),
-      [&](const ConnectionPtr& connection) {
-        return !customer || connection->server.customer == *customer;
-      });
-  if (found == instance.idle.rend())
+  auto oldest = instance.idle.end();
+  for (auto idle = instance.idle.begin(); idle != instance.idle.end(); ++idle) {
+    if ((!customer || (*idle)->server.customer == *customer) &&
+        (oldest == instance.idle.end() ||
+         (*idle)->opened_at < (*oldest)->opened_at))
+      oldest = idle;
+  }
+  if (oldest == instance.idle.end())
     return nullptr;
-  ConnectionPtr connection = std::move(*found);
-  instance.idle.erase(std::next(found).base());
+  ConnectionPtr connection = std::move(*oldest);
+  instance.idle.erase(oldest);
   return connection;
 }
 
--- a/libraries/gateway/backend_pool.h
+++ b/libraries/gateway/backend_pool.h
@@ -198,7 +198,9 @@
   static void Returned(InstanceConnections& instance,
                        const PooledConnection& connection);
   void FailWaiters(InstanceConnections& instance, const Error& error);
-  // Returns an open idle connection of the customer, or null.
+  // Returns the open idle connection of the customer that was opened first, or
+  // null. An old connection shows that the instance has not restarted since, so
+  // it must not be the one that idles until it is closed.
   ConnectionPtr TakeIdle(InstanceConnections& instance,
                          const std::optional<CustomerName>& customer);
   Duration IdleTime(const PooledConnection& connection, bool kept) const;
--- a/libraries/gateway/commit_confirmation.cc
+++ b/libraries/gateway/commit_confirmation.cc
@@ -42,6 +42,39 @@
   Check(commit);
 }
 
+bool CommitConfirmation::MayConfirm(const GroupName& group) {
+  const auto found = m_unconfirmable.find(group);
+  if (found == m_unconfirmable.end())
+    return true;
+  if (m_context.HearsOfClaims()) {
+    m_unconfirmable.erase(found);
+    return true;
+  }
+  if (!std::exchange(found->second, true))
+    m_replicas.AskReplicas(
+        group,
+        [self = m_self, group](const ReplicaAnswers& answers, bool complete) {
+          if (*self && complete)
+            (*self)->NoteAnswers(group, answers);
+          return false;
+        });
+  return false;
+}
+
+void CommitConfirmation::NoteAnswers(const GroupName& group,
+                                     const ReplicaAnswers& answers) {
+  const bool may_show =
+      MayShowSurvival(answers, m_context.claims.heard_until());
+  const bool changed = may_show ? m_unconfirmable.erase(group) > 0
+                                : !m_unconfirmable.contains(group);
+  if (!may_show)
+    m_unconfirmable[group] = false;
+  if (changed)
+    m_context.log.LogStateChange(
+        EventKind::kFailover, group,
+        may_show ? "commits_confirmable" : "commits_unconfirmable", "", {});
+}
+
 void CommitConfirmation::Check(const CommitPtr& commit) {
   const TimePoint now = m_context.timers.now();
   const bool pending =
@@ -89,26 +122,37 @@
 
 void CommitConfirmation::AskReplicas(const CommitPtr& commit) {
   m_replicas.AskReplicas(
-      commit->group, [self = m_self, commit](const ReplicaAnswers& answers) {
-        if (!*self)
-          return;
-        GatewayContext& context = (*self)->m_context;
-        const bool survives = SurvivesUnknownClaim(
-            answers, commit->position, context.claims.heard_until());
-        (*self)->LogAnswers(*commit, answers, survives);
-        // A claim may have become known meanwhile.
-        if (survives &&
-            !context.ChangePending(commit->group, commit->position.term))
-          return (*self)->Decide(commit, true);
-        (*self)->CheckLater(commit);
+      commit->group,
+      [self = m_self, commit](const ReplicaAnswers& answers, bool complete) {
+        return !*self || (*self)->ReplicasAnswered(commit, answers, complete);
       });
 }
 
+bool CommitConfirmation::ReplicasAnswered(const CommitPtr& commit,
+                                          const ReplicaAnswers& answers,
+                                          bool complete) {
+  const bool survives = SurvivesUnknownClaim(answers, commit->position,
+                                             m_context.claims.heard_until());
+  if (complete || survives) {
+    LogAnswers(*commit, answers, survives);
+    NoteAnswers(commit->group, answers);
+  }
+  // A claim may have become known meanwhile.
+  if (survives &&
+      !m_context.ChangePending(commit->group, commit->position.term)) {
+    Decide(commit, true);
+    return true;
+  }
+  if (complete)
+    CheckLater(commit);
+  return false;
+}
+
 void CommitConfirmation::LogAnswers(const Commit& commit,
                                     const ReplicaAnswers& answers,
                                     bool survives) {
-  const std::string text = DescribeAnswers(answers, commit.position,
-                                           m_context.claims.heard_until());
+  const std::string text =
+      DescribeAnswers(answers, commit.position, m_context.claims.heard_until());
   if (std::exchange(m_logged_answers[commit.group], text) == text)
     return;
   m_context.log.LogStateChange(EventKind::kFailover, commit.group,
--- a/libraries/gateway/commit_confirmation.h
+++ b/libraries/gateway/commit_confirmation.h
@@ -42,6 +42,11 @@
                TimePoint deadline,
                OnDecision on_decision);
 
+  // Returns whether a commit that is sent now may be confirmed. False while the
+  // store does not answer and the replicas' last answers cannot show that any
+  // commit survives; the replicas are then asked again.
+  bool MayConfirm(const GroupName& group);
+
  private:
   struct Commit {
     GroupName group;
@@ -60,6 +65,12 @@
   void AskCandidate(const CommitPtr& commit, const InstanceName& candidate);
   // Asks the replicas whether a claim that is not known may lose the commit.
   void AskReplicas(const CommitPtr& commit);
+  // Returns whether the answers decide on the commit.
+  bool ReplicasAnswered(const CommitPtr& commit,
+                        const ReplicaAnswers& answers,
+                        bool complete);
+  // Notes and logs what the replicas have answered about the commits of now.
+  void NoteAnswers(const GroupName& group, const ReplicaAnswers& answers);
   // Logs what the replicas have answered when that has changed.
   void LogAnswers(const Commit& commit,
                   const ReplicaAnswers& answers,
@@ -70,6 +81,9 @@
   GatewayContext& m_context;
   InstanceStatus m_status;
   ReplicaConfirmation m_replicas;
+  // Groups whose replicas cannot show at present that a commit survives, and
+  // whether they are being asked again.
+  std::map<GroupName, bool> m_unconfirmable;
   // What was last logged of the replicas' answers.
   std::map<GroupName, std::string> m_logged_answers;
   // Null once this object is destroyed; callbacks may run after that.
--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -82,6 +82,12 @@
                      TimePoint deadline,
                      std::function<void(OperationDecision)> on_decision)>
       admit_operation;
+  // Returns whether a commit of the group that is sent now may be confirmed,
+  // see CommitConfirmation::MayConfirm(). Null: every commit may.
+  std::function<bool(const GroupName& group)> may_confirm_commit;
+  // Since when no primary of a group could be reached by statements that need
+  // one.
+  std::map<GroupName, TimePoint> no_primary_since;
   // When a group last lost an instance together with its log. Before `started`,
   // such a loss may have occurred at any time, unobserved by this proxy.
   std::map<GroupName, TimePoint> last_member_loss;
--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -133,6 +133,9 @@
                                     CommitConfirmation::OnDecision then) {
     m_commit_confirmation.Confirm(group, position, deadline, std::move(then));
   };
+  m_context.may_confirm_commit = [this](const GroupName& group) {
+    return m_commit_confirmation.MayConfirm(group);
+  };
 }
 
 void GatewayHost::Start() {
--- a/libraries/gateway/local_statement_execution.cc
+++ b/libraries/gateway/local_statement_execution.cc
@@ -66,6 +66,10 @@
   m_connection = std::move(m_input.connection);
   m_instance_state = TransactionState::kOpen;
   m_target = m_connection->server.id;
+  if (unconfirmable()) {
+    ReleaseConnection();
+    return Finish(ErrorReply(ReplyCode::kAborted, kNoConfirmation));
+  }
   SendStatement();
 }
 
@@ -90,6 +94,8 @@
     return;
   if (m_context.timers.now() >= m_send_deadline)
     return Refuse(kNoInstance);
+  if (unconfirmable())
+    return Refuse(kNoConfirmation);
   ++m_attempts;
   const BackendServer* server = ChooseServer();
   if (!server) {
@@ -97,6 +103,8 @@
     // another zone may serve the statement.
     if (m_context.isolation.isolated_since())
       return Refuse(kZoneIsolated);
+    if (needs_primary() && primary_unknown())
+      return Refuse(kNoInstance);
     m_avoided.clear();
     return ScheduleAttempt(kRetryDelay);
   }
@@ -137,6 +145,8 @@
 void LocalStatementExecution::Acquired(
     Result<BackendPool::ConnectionPtr> connection) {
   if (connection) {
+    if (needs_primary())
+      m_context.no_primary_since.erase(m_input.route.group);
     m_connection = std::move(connection.value());
     m_instance_state = TransactionState::kNone;
     if (!m_on_done)
@@ -336,15 +346,6 @@
                                       m_context.timers.now());
 }
 
-void LocalStatementExecution::Refuse(const std::string& reason) {
-  Log("refused",
-      {{"reason", reason},
-       {"waited_us",
-        std::to_string((m_context.timers.now() - m_received).count())},
-       {"attempts", std::to_string(m_attempts)}});
-  Finish(ErrorReply(ReplyCode::kBusy, reason));
-}
-
 void LocalStatementExecution::ReleaseConnection() {
   if (m_connection)
     m_context.pool.RollBackAndRelease(std::move(m_connection),
--- a/libraries/gateway/local_statement_execution.h
+++ b/libraries/gateway/local_statement_execution.h
@@ -36,6 +36,14 @@
   // Returns whether the directory lists the chosen instance as primary.
   bool target_is_primary() const;
 
+  // Notes that no primary can be reached. Returns whether this proxy cannot
+  // expect to learn of one before the statement's timeout expires.
+  bool primary_unknown() const;
+
+  // Returns whether the outcome of the statement would be unknown even if it
+  // succeeded, because its commit cannot be confirmed.
+  bool unconfirmable() const;
+
   // Returns how long the statement may wait before it is sent.
   Duration WaitLimit() const;
   void StartAttempt();
--- a/libraries/gateway/relayed_statement_execution.cc
+++ b/libraries/gateway/relayed_statement_execution.cc
@@ -230,7 +230,8 @@
       reply.code == ReplyCode::kNoDatabase ||
       (reply.code == ReplyCode::kBusy &&
        (reply.message == kZoneIsolated || reply.message == kNoInstance ||
-        reply.message == kNoLease || reply.message == kDraining));
+        reply.message == kNoLease || reply.message == kNoConfirmation ||
+        reply.message == kDraining));
   if (reply.message == kZoneIsolated && m_context.peers.SameZone(m_holder))
     m_context.isolation.Suspect(m_context.timers.now());
   const bool isolated = m_context.isolation.isolated_since().has_value();
--- a/libraries/gateway/replica_confirmation.cc
+++ b/libraries/gateway/replica_confirmation.cc
@@ -1,12 +1,15 @@
 #include "gateway/replica_confirmation.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace jackdawturn::gateway {
 
 namespace {
 
+constexpr const char* kStep = "replica.confirmation";
+
 // Returns whether the replica replicates the term of the commit.
 bool FollowsTermOf(const CommitPosition& commit,
                    const ReplicationStatus& status) {
@@ -59,6 +62,25 @@
              });
 }
 
+bool MayShowSurvival(const ReplicaAnswers& answers,
+                     std::optional<TimePoint> heard_until) {
+  const auto receives = [](const Result<InstanceAnswer>& answer) {
+    return answer && answer.value().status.role == ReplicationRole::kReplica &&
+           !IsPaused(answer.value().status);
+  };
+  const bool one_is_kept =
+      std::any_of(answers.begin(), answers.end(), [&](const auto& answer) {
+        return receives(answer) && heard_until &&
+               answer.value().connected_at <= *heard_until;
+      });
+  const bool all_are_known =
+      std::all_of(answers.begin(), answers.end(), [&](const auto& answer) {
+        return answer ? receives(answer) : DoesNotRun(answer.error());
+      });
+  return one_is_kept || (all_are_known &&
+                         std::any_of(answers.begin(), answers.end(), receives));
+}
+
 std::string DescribeAnswers(const ReplicaAnswers& answers,
                             CommitPosition commit,
                             std::optional<TimePoint> heard_until) {
@@ -95,17 +117,25 @@
 void ReplicaConfirmation::AskReplicas(const GroupName& group,
                                       OnAnswers on_answers) {
   Round& round = m_rounds[group];
-  round.waiting.push_back(std::move(on_answers));
-  if (round.awaited > 0)
+  if (round.awaited > 0) {
+    round.next.push_back(std::move(on_answers));
     return;
+  }
+  round.waiting.push_back(std::move(on_answers));
+  StartRound(group);
+}
+
+void ReplicaConfirmation::StartRound(const GroupName& group) {
   const BackendServer* primary = m_context.directory.Primary(group);
   std::vector<InstanceName> replicas;
   for (const BackendServer* server : m_context.directory.All(group)) {
     if (!primary || server->id != primary->id)
       replicas.push_back(server->id);
   }
+  Round& round = m_rounds[group];
   // One more, so that the round does not end before all were asked.
   round.awaited = replicas.size() + 1;
+  round.replicas = replicas.size();
   for (const InstanceName& replica : replicas) {
     m_status.Request(replica, [self = m_self, group](const auto& answer) {
       if (*self)
@@ -120,16 +150,42 @@
 
 void ReplicaConfirmation::Answered(const GroupName& group,
                                    const Result<InstanceAnswer>& answer) {
-  m_rounds[group].answers.push_back(answer);
+  Round& round = m_rounds[group];
+  round.answers.push_back(answer);
+  if (round.answers.size() < round.replicas) {
+    ReplicaAnswers so_far = round.answers;
+    so_far.resize(round.replicas,
+                  Error{ErrorCode::kTimeout, kStep, group.value(),
+                        "the replica has not answered yet"});
+    OfferAnswers(so_far, group, &Round::waiting);
+    OfferAnswers(so_far, group, &Round::next);
+  }
   EndRequest(group);
 }
 
+void ReplicaConfirmation::OfferAnswers(const ReplicaAnswers& so_far,
+                                       const GroupName& group,
+                                       std::vector<OnAnswers> Round::*list) {
+  // A callback may add to the list.
+  std::vector<OnAnswers> offered = std::exchange(m_rounds[group].*list, {});
+  std::erase_if(offered, [&](const OnAnswers& on_answers) {
+    return on_answers(so_far, false);
+  });
+  std::vector<OnAnswers>& kept = m_rounds[group].*list;
+  kept.insert(kept.begin(), std::make_move_iterator(offered.begin()),
+              std::make_move_iterator(offered.end()));
+}
+
 void ReplicaConfirmation::EndRequest(const GroupName& group) {
   if (--m_rounds[group].awaited > 0)
     return;
-  const Round ended = std::exchange(m_rounds[group], {});
+  Round ended = std::exchange(m_rounds[group], {});
+  if (!ended.next.empty()) {
+    m_rounds[group].waiting = std::move(ended.next);
+    StartRound(group);
+  }
   for (const OnAnswers& on_answers : ended.waiting)
-    on_answers(ended.answers);
+    on_answers(ended.answers, true);
 }
 
 }  // namespace jackdawturn::gateway
--- a/libraries/gateway/replica_confirmation.h
+++ b/libraries/gateway/replica_confirmation.h
@@ -11,7 +11,8 @@
 
 namespace jackdawturn::gateway {
 
-// What the replicas of a group have answered, each to one request.
+// What the replicas of a group have answered, each to one request. kTimeout
+// stands for those that have not answered.
 using ReplicaAnswers = std::vector<Result<InstanceAnswer>>;
 
 // Returns whether a commit that a primary has acknowledged is in the log of any
@@ -27,6 +28,12 @@
                           CommitPosition commit,
                           std::optional<TimePoint> heard_until);
 
+// Returns whether such answers can show that a commit survives, once the
+// replicas that receive have it. If not, waiting helps only when a replica's
+// state changes or the store answers again. Thread-safe.
+bool MayShowSurvival(const ReplicaAnswers& answers,
+                     std::optional<TimePoint> heard_until);
+
 // Describes for the log what each replica has answered about the commit, in the
 // terms of SurvivesUnknownClaim(). Thread-safe.
 std::string DescribeAnswers(const ReplicaAnswers& answers,
@@ -35,11 +42,13 @@
 
 // Asks the replicas of a group about the commits that this proxy is to pass on
 // while it cannot rely on hearing of claims. Commits that are acknowledged
-// during a round share it. Load pattern: writes during an outage of the store,
-// also while a replica is down. Thread safety: not thread-safe.
+// during a round share the next one. Load pattern: writes during an outage of
+// the store, also while a replica is down. Thread safety: not thread-safe.
 class ReplicaConfirmation {
  public:
-  using OnAnswers = std::function<void(const ReplicaAnswers& answers)>;
+  // `complete`: the round has ended. Returns whether the answers suffice.
+  using OnAnswers =
+      std::function<bool(const ReplicaAnswers& answers, bool complete)>;
 
   // `context` outlives this.
   ReplicaConfirmation(GatewayContext& context, ReadStatusRow read_status);
@@ -47,17 +56,28 @@
   ReplicaConfirmation(const ReplicaConfirmation&) = delete;
   ReplicaConfirmation& operator=(const ReplicaConfirmation&) = delete;
 
-  // Passes the answers of all replicas of the group.
+  // Passes the answers of all replicas of the group, each time that one more
+  // has answered, until they suffice or the round has ended. A replica that
+  // does not answer so delays no commit that another one proves.
   void AskReplicas(const GroupName& group, OnAnswers on_answers);
 
  private:
   struct Round {
+    size_t replicas = 0;
     size_t awaited = 0;
     ReplicaAnswers answers;
     std::vector<OnAnswers> waiting;
+    // Asked for since the round began. A replica that was not paused when it
+    // answered may have been paused before their commits were acknowledged, so
+    // they need a round of their own unless one answer suffices.
+    std::vector<OnAnswers> next;
   };
 
+  void StartRound(const GroupName& group);
   void Answered(const GroupName& group, const Result<InstanceAnswer>& answer);
+  void OfferAnswers(const ReplicaAnswers& so_far,
+                    const GroupName& group,
+                    std::vector<OnAnswers> Round::*list);
   void EndRequest(const GroupName& group);
 
   GatewayContext& m_context;
--- a/libraries/gateway/statement_execution.h
+++ b/libraries/gateway/statement_execution.h
@@ -104,6 +104,9 @@
 inline constexpr const char* kNoInstance = "no_instance_in_time";
 // The primary cannot be shown to be the current one.
 inline constexpr const char* kNoLease = "no_lease_in_time";
+// This proxy cannot find out whether a commit would survive a change of the
+// primary.
+inline constexpr const char* kNoConfirmation = "commit_not_confirmable";
 // This proxy stops.
 inline constexpr const char* kDraining = "draining";
 
--- a/tests/gateway/commit_confirmation_test.cc
+++ b/tests/gateway/commit_confirmation_test.cc
@@ -1,7 +1,7 @@
 #include <optional>
 #include <string>
 
-#include "gateway/fake_group.h"
+#include "gateway/confirmation_rig.h"
 
 #include "support/table_test.h"
 
@@ -17,32 +17,6 @@
                                  .attempt = "1",
                                  .term = 1};
 
-// A proxy that hears of changes of the primary, and one write to "p".
-struct ConfirmationRig : GatewayRig {
-  ConfirmationRig() {
-    UseSyncReplicas();
-    context.confirm_commit = [this](const GroupName& name,
-                                    CommitPosition position, TimePoint deadline,
-                                    CommitConfirmation::OnDecision decide) {
-      confirmation.Confirm(name, position, deadline, std::move(decide));
-    };
-  }
-
-  void Hear(const PrimaryChangeRecord& record) {
-    context.changes.Observe(kGroup, ++revision, record, timers.now());
-  }
-
-  void Write() {
-    session = Open("strict");
-    session->Handle(StatementOf(ClientStatement::Kind::kWrite, "WRITE 1 x"));
-    timers.Advance(20ms);
-  }
-
-  CommitConfirmation confirmation{context, FakeStatus};
-  std::shared_ptr<ClientSession> session;
-  uint64_t revision = 0;
-};
-
 PrimaryChangeRecord Ended(const char* promoted,
                           uint64_t promoted_term,
                           CommitPosition received) {
