Gateway: Find the pace of an instance that has just started or recovered

A server that started, recovered or was promoted received the whole queue that had built up for it, as fast as its connections allowed. The statements then queued at the instance, which knows no priorities, and timed out.

ServerPace limits the statements in progress there, from one upwards, by how the instance answers; BackendPool lets requests wait for it, and reads take an instance that is held back for a full one. Later statements of transactions and commands of the proxy are never held back, and nothing changes for an instance that has not been down. The comparison of answer times with the fastest recent batch moves from ConcurrencyLimiter to AnswerTimes, which both use.

--- a/libraries/core/core.h
+++ b/libraries/core/core.h
@@ -2,6 +2,7 @@
 
 // Public header of the library core.
 
+#include "core/answer_times.h"    // IWYU pragma: export
 #include "core/bounded_ring.h"    // IWYU pragma: export
 #include "core/database_types.h"  // IWYU pragma: export
 #include "core/error.h"           // IWYU pragma: export
--- a/libraries/gateway/backend_pool.h
+++ b/libraries/gateway/backend_pool.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "gateway/backend_session.h"
+#include "gateway/server_pace.h"
 #include "gateway/session_state.h"
 #include "gateway/timers.h"
 
@@ -24,14 +25,37 @@
   AppliedSessionState state;
   TimePoint opened_at;
   TimePoint idle_since;
+  // A statement is in progress or about to be sent, and counts for the pace of
+  // the instance.
+  bool in_progress = false;
 };
 
+// A request of a customer for a connection to an instance.
+struct StatementRequest {
+  // An empty name stands for clients without a customer.
+  CustomerName customer;
+  // Requests with a lower priority are served first.
+  uint64_t priority = 0;
+  // How long the request may wait.
+  Duration wait{0};
+  // The instance is asked as the primary of its group.
+  bool as_primary = false;
+};
+
+// Why an instance receives only as many statements as it is seen to bear.
+enum class PaceReason { kStarted, kRecovered, kPromoted, kSilent };
+
+// Returns the name used in logs. Thread-safe.
+std::string_view ToString(PaceReason reason);
+
 // This proxy's connections to all instances, and the requests that are queued
 // for one. A connection serves the requests of the customer for whom it was
 // opened. When the limit is reached, the least recently used connection of
-// another customer makes room. Load pattern: many customers with little traffic
-// each, one customer that keeps all connections busy. Thread safety: not
-// thread-safe.
+// another customer makes room. The requests for an instance that has just
+// started, recovered or been promoted wait until ServerPace allows them. Load
+// patterns: many customers with little traffic each, one customer that keeps
+// all connections busy; the queue for an instance that was down. Thread safety:
+// not thread-safe.
 class BackendPool {
  public:
   using ConnectionPtr = std::unique_ptr<PooledConnection>;
@@ -63,6 +87,12 @@
     // Returns whether one idle connection to the instance is kept beyond
     // idle_time; null: always.
     std::function<bool(const BackendServer&)> keep_one_idle;
+    // Whether instances that start or recover are protected by ServerPace.
+    bool paces_servers = true;
+    // Called when the pace of an instance begins to be limited, with the
+    // reason, and when it is no longer limited, with nothing. May be null.
+    std::function<void(const BackendServer&, std::optional<PaceReason>)>
+        on_pace_change;
   };
 
   BackendPool(Timers& timers, OpenBackendSession open, Options options);
@@ -79,14 +109,25 @@
                uint64_t priority,
                Duration wait,
                OnAcquired on_acquired);
-  // As Acquire, for statements of a customer, on a connection that was opened
-  // for it. An empty name stands for clients without a customer.
-  void AcquireFor(const CustomerName& customer,
+  // As Acquire, for a statement of a customer, on a connection that was opened
+  // for it. The request also waits until the pace of the instance allows it.
+  void AcquireFor(const StatementRequest& request,
                   const BackendServer& server,
-                  uint64_t priority,
-                  Duration wait,
                   OnAcquired on_acquired);
 
+  // Records that a batch of a customer's statement is sent on the connection.
+  // Precondition: the connection is lent.
+  void Sent(PooledConnection& connection);
+  // Records the answer to it. After the next batch was sent on the connection
+  // or it was returned, ServeWaiting() must be called.
+  void Answered(PooledConnection& connection, const AnsweredBatch& batch);
+  // Records that no answer has come to it in time.
+  void Unanswered(PooledConnection& connection, TimePoint sent_at);
+  // Serves the requests that the pace of the instance allows by now.
+  void ServeWaiting(const InstanceName& id);
+  // Called when an instance was added or has restarted.
+  void Started(const BackendServer& server);
+
   // Opens a connection to find out whether the instance responds, and adds it
   // to the pool if the pool has the instance already. Errors: as Acquire.
   void Probe(const BackendServer& server,
@@ -112,6 +153,8 @@
   void CloseIdle();
 
   size_t Outstanding(const InstanceName& id) const;
+  // Returns whether the pace of the instance allows no further statement now.
+  bool HeldBack(const InstanceName& id) const;
   // Returns whether a connection of the customer is idle. True for the empty
   // name, whose connections need not be told apart.
   bool HasIdle(const InstanceName& id, const CustomerName& customer) const;
@@ -150,26 +193,42 @@
     std::optional<TimePoint> unreachable_until;
     // Why it was unreachable.
     ErrorCode unreachable_code = ErrorCode::kUnavailable;
+    // Whether it was last asked as primary.
+    std::optional<bool> as_primary;
+    ServerPace pace;
+    // Connections with PooledConnection::in_progress.
+    size_t in_progress = 0;
+    // Requests may wait beside idle connections, because of the pace.
+    bool may_hold_back = false;
     bool retry_scheduled = false;
 
     size_t total() const { return idle.size() + in_use + opening; }
   };
 
   InstanceConnections& FindOrAddInstance(const BackendServer& server);
-  void AcquireOrWait(const BackendServer& server,
-                     std::optional<CustomerName> customer,
-                     uint64_t priority,
-                     Duration wait,
-                     OnAcquired on_acquired);
-  void Enqueue(InstanceConnections& instance,
-               std::optional<CustomerName> customer,
-               uint64_t priority,
-               Duration wait,
-               OnAcquired on_acquired);
+  void AcquireOrWait(InstanceConnections& instance,
+                     Waiter waiter,
+                     Duration wait);
+  void Enqueue(InstanceConnections& instance, Waiter waiter, Duration wait);
   void TimeOutWaiter(const InstanceName& id, uint64_t number);
+  // Returns whether the pace of the instance allows the waiter's statement.
+  // Commands of the proxy itself are always allowed.
+  static bool PaceAllows(const InstanceConnections& instance,
+                         const Waiter& waiter);
+  void BeginPace(InstanceConnections& instance, PaceReason reason);
+  void EndPace(InstanceConnections& instance);
+  static void EndProgress(InstanceConnections& instance,
+                          PooledConnection& connection);
+  // Serves waiters by idle connections, if the pace held them back, and opens
+  // connections for the others.
+  void Serve(InstanceConnections& instance);
+  // Lends an idle connection to the first waiter that may be served by one.
+  // Returns whether there was one.
+  bool LendIdle(InstanceConnections& instance);
   void OpenMore(InstanceConnections& instance);
   void Open(InstanceConnections& instance, const CustomerName& customer);
-  // Returns the next waiter for which no connection is being opened, or null.
+  // Returns the next waiter that may be served and for which no connection is
+  // being opened, or null.
   // Among waiters of equal priority, that of the customer with the fewest
   // connections in use comes first.
   const Waiter* NextWithoutConnection(
@@ -193,10 +252,15 @@
   void Offer(InstanceConnections& instance, ConnectionPtr connection);
   void Lend(InstanceConnections& instance,
             ConnectionPtr connection,
+            bool for_statement,
             const OnAcquired& on_acquired);
+  // As Lend, to a waiter that is queued.
+  void LendTo(InstanceConnections& instance,
+              std::list<Waiter>::iterator waiter,
+              ConnectionPtr connection);
   // Counts a connection that was lent as returned.
   static void Returned(InstanceConnections& instance,
-                       const PooledConnection& connection);
+                       PooledConnection& connection);
   void FailWaiters(InstanceConnections& instance, const Error& error);
   // Returns an open idle connection of the customer, or null.
   ConnectionPtr TakeIdle(InstanceConnections& instance,
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -33,6 +33,7 @@
 #include "gateway/replica_confirmation.h"         // IWYU pragma: export
 #include "gateway/replica_lag_monitor.h"          // IWYU pragma: export
 #include "gateway/server_directory.h"             // IWYU pragma: export
+#include "gateway/server_pace.h"                  // IWYU pragma: export
 #include "gateway/session_state.h"                // IWYU pragma: export
 #include "gateway/shared_watches.h"               // IWYU pragma: export
 #include "gateway/store_contact.h"                // IWYU pragma: export
--- a/libraries/gateway/gateway_host_records.cc
+++ b/libraries/gateway/gateway_host_records.cc
@@ -116,6 +116,9 @@
     m_context.failure_detector.Forget(server.id);
     m_context.last_member_loss[server.group] = m_ports.timers.now();
   }
+  // What is listed when this proxy starts may have run for long.
+  if (m_servers_listed && !known)
+    m_pool.Started(server);
   m_directory.Update(server);
 }
 
--- a/libraries/gateway/gateway_log.cc
+++ b/libraries/gateway/gateway_log.cc
@@ -39,6 +39,20 @@
          .fields = std::move(fields)});
 }
 
+void GatewayLog::LogPaceChange(const GroupName& group,
+                               const InstanceName& instance,
+                               std::optional<PaceReason> reason) {
+  MetricGauge& held_back = m_metrics.FindGauge(
+      "jackdawturn_instances_held_back",
+      "Instances that receive only as many statements as they are seen to "
+      "bear.");
+  held_back.Set(held_back.value() + (reason ? 1 : -1));
+  LogStateChange(
+      EventKind::kMembership, group, reason ? "held_back" : "not_held_back",
+      instance.value(),
+      reason ? Fields{{"reason", std::string(ToString(*reason))}} : Fields{});
+}
+
 void GatewayLog::RecordStatement(ReplyCode code, Duration latency) {
   StatementSeries& series = m_statements[code];
   if (!series.count) {
--- a/libraries/gateway/gateway_log.h
+++ b/libraries/gateway/gateway_log.h
@@ -2,9 +2,11 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "core/core.h"
+#include "gateway/backend_pool.h"
 #include "gateway/gateway_types.h"
 #include "observe/observe.h"
 
@@ -36,6 +38,12 @@
   // records its latency.
   // Precondition: `latency` is not negative.
   void RecordStatement(ReplyCode code, Duration latency);
+  // Logs that the pace of an instance begins to be limited, with the reason, or
+  // is no longer limited, and counts the instances of which it is.
+  void LogPaceChange(const GroupName& group,
+                     const InstanceName& instance,
+                     std::optional<PaceReason> reason);
+
   // Counts a statement whose session ended before its answer, by the reason of
   // the end.
   void CountUnanswered(const std::string& reason);
--- a/libraries/gateway/local_statement_execution.cc
+++ b/libraries/gateway/local_statement_execution.cc
@@ -103,8 +103,11 @@
   m_target = server->id;
   if (m_context.isolation.isolated_since() && server->zone != m_context.zone)
     return Refuse(kZoneIsolated);
-  m_context.pool.AcquireFor(m_input.customer, *server, m_input.route.priority,
-                            m_send_deadline - m_context.timers.now(),
+  m_context.pool.AcquireFor({.customer = m_input.customer,
+                             .priority = m_input.route.priority,
+                             .wait = m_send_deadline - m_context.timers.now(),
+                             .as_primary = target_is_primary()},
+                            *server,
                             [self = shared_from_this()](
                                 Result<BackendPool::ConnectionPtr> connection) {
                               self->Acquired(std::move(connection));
@@ -202,16 +205,17 @@
   else if (m_context.needs_leases())
     begin.after = m_input.own_commit;
   commands.push_back(std::move(begin));
-  Send(std::move(commands), [this](const std::vector<BackendReply>& replies) {
-    const BackendReply& begun = DecidingReply(replies, replies.size() - 1);
-    if (begun.code == ReplyCode::kDone) {
-      m_required.reset();
-      return SendStatement();
-    }
-    ReleaseConnection();
-    if (!RetryIfNotRun(begun))
-      Finish(ErrorReply(begun.code, begun.message));
-  });
+  Send(StatementStep::kBegin, std::move(commands),
+       [this](const std::vector<BackendReply>& replies) {
+         const BackendReply& begun = DecidingReply(replies, replies.size() - 1);
+         if (begun.code == ReplyCode::kDone) {
+           m_required.reset();
+           return SendStatement();
+         }
+         ReleaseConnection();
+         if (!RetryIfNotRun(begun))
+           Finish(ErrorReply(begun.code, begun.message));
+       });
 }
 
 void LocalStatementExecution::SendStatement() {
@@ -225,16 +229,21 @@
   MarkSent();
   if (m_implicit_transaction)
     commands.push_back({.kind = CommandKind::kRollback});
-  Send(std::move(commands),
+  const StatementStep step = m_input.is_commit() ? StatementStep::kCommit
+                             : m_input.writes()  ? StatementStep::kWrite
+                                                 : StatementStep::kRead;
+  Send(step, std::move(commands),
        [this, index](const std::vector<BackendReply>& replies) {
          StatementReplied(DecidingReply(replies, index));
        });
 }
 
 void LocalStatementExecution::Send(
+    StatementStep step,
     std::vector<BackendCommand> commands,
     std::function<void(std::vector<BackendReply>)> on_replies) {
   const uint64_t batch = ++m_batch;
+  m_step = step;
   m_sent_at = m_context.timers.now();
   TimePoint times_out_at = m_deadline;
   if (!m_input.changes_data())
@@ -246,6 +255,7 @@
                                  self->ResponseTimedOut();
                              });
   m_context.failure_detector.Sent(m_target, m_input.changes_data(), m_sent_at);
+  m_context.pool.Sent(*m_connection);
   m_connection->session->Send(
       std::move(commands),
       [self = shared_from_this(), batch, on_replies = std::move(on_replies)](
@@ -268,9 +278,29 @@
   m_context.zone_reachability.Reached(m_target, m_context.timers.now());
   m_instance_state = replies.value().back().state;
   m_connection->state.Replied(replies.value());
-  if (!m_on_done)
-    return ReleaseConnection();
-  handler(std::move(replies.value()));
+  RecordAnswer(replies.value());
+  const InstanceName answered_by = m_target;
+  if (m_on_done)
+    handler(std::move(replies.value()));
+  else
+    ReleaseConnection();
+  m_context.pool.ServeWaiting(answered_by);
+}
+
+void LocalStatementExecution::RecordAnswer(
+    const std::vector<BackendReply>& replies) {
+  using Outcome = AnsweredBatch::Outcome;
+  AnsweredBatch batch;
+  batch.database = m_input.route.database;
+  batch.step = m_step;
+  batch.sent_at = m_sent_at;
+  for (const BackendReply& reply : replies) {
+    if (reply.code == ReplyCode::kBusy)
+      batch.outcome = Outcome::kNoRoom;
+    else if (reply.code != ReplyCode::kDone && batch.outcome == Outcome::kRan)
+      batch.outcome = Outcome::kRefused;
+  }
+  m_context.pool.Answered(*m_connection, batch);
 }
 
 void LocalStatementExecution::StatementReplied(const BackendReply& reply) {
--- a/libraries/gateway/local_statement_execution.h
+++ b/libraries/gateway/local_statement_execution.h
@@ -51,10 +51,13 @@
   bool lease_suffices() const;
   void BeginTransaction();
   void SendStatement();
-  void Send(std::vector<BackendCommand> commands,
+  void Send(StatementStep step,
+            std::vector<BackendCommand> commands,
             std::function<void(std::vector<BackendReply>)> on_replies);
   void Replied(Result<std::vector<BackendReply>> replies,
                const std::function<void(std::vector<BackendReply>)>& handler);
+  // Tells the pool of the answer to the batch in progress.
+  void RecordAnswer(const std::vector<BackendReply>& replies);
   void ResponseTimedOut();
   // Releases the connection once the batch is answered, or closes it after
   // kLateReplyTimeout.
@@ -112,6 +115,8 @@
   std::set<InstanceName> m_avoided;
   InstanceName m_target;
   TimePoint m_sent_at;
+  // What the batch in progress does.
+  StatementStep m_step = StatementStep::kRead;
   uint64_t m_batch = 0;
   // Connections whose batch timed out and may still be answered, by batch.
   std::map<uint64_t, BackendPool::ConnectionPtr> m_timed_out_connections;
--- a/libraries/gateway/local_statement_positions.cc
+++ b/libraries/gateway/local_statement_positions.cc
@@ -39,6 +39,7 @@
          .primary = primary && primary->id == server->id,
          .same_zone = same_zone,
          .outstanding = m_context.pool.Outstanding(server->id),
+         .held_back = m_context.pool.HeldBack(server->id),
          .connected = m_context.pool.HasIdle(server->id, m_input.customer),
          .unreachable = m_context.pool.Unreachable(server->id) ||
                         (m_context.isolation.isolated_since() && !same_zone),
--- a/libraries/gateway/local_statement_timeouts.cc
+++ b/libraries/gateway/local_statement_timeouts.cc
@@ -32,6 +32,7 @@
         std::to_string((m_context.timers.now() - m_sent_at).count())}});
   m_context.failure_detector.Lost(m_target, m_input.changes_data(),
                                   m_context.timers.now());
+  m_context.pool.Unanswered(*m_connection, m_sent_at);
   // A statement that commits nothing is rolled back when its answer arrives.
   // Closing the connection now would waste the instance's work, and opening
   // another would take one of the instance's slots.
@@ -84,6 +85,7 @@
   ++m_batch;
   m_context.failure_detector.Lost(m_target, m_input.changes_data(),
                                   m_context.timers.now());
+  m_context.pool.Unanswered(*m_connection, m_sent_at);
   m_context.pool.Discard(std::move(m_connection));
   if (!m_on_done)
     return;
--- a/libraries/gateway/read_selection.cc
+++ b/libraries/gateway/read_selection.cc
@@ -1,5 +1,6 @@
 #include "gateway/read_selection.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace jackdawturn::gateway {
@@ -10,10 +11,16 @@
 // this many more requests outstanding.
 constexpr size_t kPrimaryReserve = 2;
 
+// An instance that is held back counts as one with at least this many requests
+// outstanding: it is full, although few of them are in progress.
+constexpr size_t kHeldBackLoad = 16;
+
 // Lower is better.
 std::tuple<bool, size_t, bool> CostOf(const ReadCandidate& candidate) {
-  const size_t load = candidate.outstanding +
-                      (candidate.primary ? kPrimaryReserve : 0) +
+  const size_t outstanding =
+      candidate.held_back ? std::max(candidate.outstanding, kHeldBackLoad)
+                          : candidate.outstanding;
+  const size_t load = outstanding + (candidate.primary ? kPrimaryReserve : 0) +
                       (candidate.connected ? 0 : 1);
   return {candidate.unreachable, load, !candidate.same_zone};
 }
--- a/libraries/gateway/read_selection.h
+++ b/libraries/gateway/read_selection.h
@@ -15,6 +15,8 @@
   bool same_zone = false;
   // Connections in use plus requests waiting for one.
   size_t outstanding = 0;
+  // Its pace allows no further statement now.
+  bool held_back = false;
   // A connection of the read's customer is idle; otherwise one must be opened,
   // which takes one of the instance's slots.
   bool connected = true;
--- a/libraries/gateway/relayed_statement_execution.cc
+++ b/libraries/gateway/relayed_statement_execution.cc
@@ -94,9 +94,10 @@
   const BackendServer target = MakeRelayServer(
       *holder, m_input.route.database, m_input.route.last_changed_version);
   m_context.peer_pool.AcquireFor(
-      m_input.customer, target, m_input.route.priority,
-      std::min(kAcquireTimeout, m_send_deadline - now),
-      [self = shared_from_this()](auto connection) {
+      {.customer = m_input.customer,
+       .priority = m_input.route.priority,
+       .wait = std::min(kAcquireTimeout, m_send_deadline - now)},
+      target, [self = shared_from_this()](auto connection) {
         self->Acquired(std::move(connection));
       });
 }
--- a/libraries/routing/concurrency_limiter.cc
+++ b/libraries/routing/concurrency_limiter.cc
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr int kSmoothingDivisor = 8;
 constexpr Duration kHalfLife{500'000};
 constexpr int64_t kMaxHalvings = 10;
 
@@ -18,25 +17,30 @@
 }  // namespace
 
 ConcurrencyLimiter::ConcurrencyLimiter(ConcurrencyLimitOptions options)
-    : m_options(options), m_limit(options.first_limit) {}
+    : m_options(options),
+      m_limit(options.first_limit),
+      m_times({.queued_ratio = options.queued_ratio,
+               .shortest_queue = options.shortest_queue,
+               .batch = options.batch,
+               .baseline_window = options.baseline_window}) {}
 
 Duration ConcurrencyLimiter::AnswerTime(TimePoint now) const {
-  if (m_answer_time == Duration(0))
+  if (!measured())
     return m_options.first_answer_time;
   const int64_t halvings =
       std::clamp<int64_t>((now - m_last_answer) / kHalfLife, 0, kMaxHalvings);
-  return std::max(Duration(1), m_answer_time / (int64_t{1} << halvings));
+  return std::max(Duration(1), m_times.smoothed() / (int64_t{1} << halvings));
 }
 
 Duration ConcurrencyLimiter::AnswerBound(TimePoint now) const {
   const Duration time = AnswerTime(now);
-  if (m_answer_time == Duration(0))
+  if (!measured())
     return time;
-  return time + 2 * std::min(m_deviation, time);
+  return time + 2 * std::min(m_times.deviation(), time);
 }
 
 Duration ConcurrencyLimiter::ServiceTime(TimePoint now) const {
-  return std::min({AnswerTime(now), m_fastest, m_previous_fastest});
+  return std::min(AnswerTime(now), m_times.fastest());
 }
 
 TimePoint ConcurrencyLimiter::PacedSend(TimePoint now) const {
@@ -67,17 +71,8 @@
 
 void ConcurrencyLimiter::Answered(TimePoint sent_at, TimePoint now) {
   Lost();
-  const Duration sample = now - sent_at;
-  if (m_answer_time == Duration(0)) {
-    m_answer_time = sample;
-    m_deviation = sample / 2;
-  } else {
-    const Duration error = sample - m_answer_time;
-    m_answer_time += error / kSmoothingDivisor;
-    m_deviation += (std::chrono::abs(error) - m_deviation) / kSmoothingDivisor;
-  }
+  m_times.Record(now - sent_at, now);
   m_last_answer = now;
-  UpdateBaseline(sample, now);
   UpdateLimit(now);
 }
 
@@ -86,31 +81,11 @@
     --m_in_progress;
 }
 
-void ConcurrencyLimiter::UpdateBaseline(Duration answer_time, TimePoint now) {
-  if (now - m_window_start >= m_options.baseline_window) {
-    m_previous_fastest = m_fastest;
-    m_fastest = Duration::max();
-    m_window_start = now;
-  }
-  m_batch_sum += answer_time;
-  if (++m_batch_count < m_options.batch)
-    return;
-  m_fastest =
-      std::min(m_fastest, m_batch_sum / static_cast<int64_t>(m_batch_count));
-  m_batch_count = 0;
-  m_batch_sum = Duration(0);
-}
-
 void ConcurrencyLimiter::UpdateLimit(TimePoint now) {
-  const Duration fastest = std::min(m_fastest, m_previous_fastest);
-  const bool queued =
-      fastest != Duration::max() &&
-      m_answer_time > std::max(Scale(fastest, m_options.queued_ratio),
-                               fastest + m_options.shortest_queue);
-  if (queued) {
+  if (m_times.queued()) {
     // At most one decrease per answer time, as later answers show the same
     // queue.
-    if (now - m_last_decrease < m_answer_time)
+    if (now - m_last_decrease < m_times.smoothed())
       return;
     m_limit = std::max(m_options.lowest, m_limit * m_options.decrease);
     m_last_decrease = now;
--- a/libraries/routing/concurrency_limiter.h
+++ b/libraries/routing/concurrency_limiter.h
@@ -35,7 +35,7 @@
 
   double limit() const { return m_limit; }
   // Returns whether an answer time was observed.
-  bool measured() const { return m_answer_time != Duration(0); }
+  bool measured() const { return m_times.measured(); }
   size_t in_progress() const { return m_in_progress; }
   // Returns the smoothed time from sending to the answer. It halves for each
   // half second without an answer, so that an estimate so high that no
@@ -50,7 +50,6 @@
   Duration ExpectedWait(TimePoint now) const;
 
  private:
-  void UpdateBaseline(Duration answer_time, TimePoint now);
   void UpdateLimit(TimePoint now);
   // Returns the answer time without queueing: that of the fastest recent batch.
   Duration ServiceTime(TimePoint now) const;
@@ -59,16 +58,7 @@
   ConcurrencyLimitOptions m_options;
   double m_limit;
   size_t m_in_progress = 0;
-  // Smoothed answer time and its smoothed deviation, 0 before the first answer.
-  Duration m_answer_time{0};
-  Duration m_deviation{0};
-  // The answers of the current batch, and the fastest batch means of the
-  // current and of the previous window.
-  size_t m_batch_count = 0;
-  Duration m_batch_sum{0};
-  Duration m_fastest = Duration::max();
-  Duration m_previous_fastest = Duration::max();
-  TimePoint m_window_start;
+  AnswerTimes m_times;
   TimePoint m_last_answer;
   TimePoint m_last_sent;
   TimePoint m_last_decrease;
