Gateway: Refuse at once what would not be served in time

Under a lasting overload, every request waited for its whole limit and was then refused, or was served after its latency target. Requests that have missed their target now go behind those of their priority that can still meet theirs, and a request is refused when it arrives if the queue ahead of it would take longer than its limit at the rate at which requests have lately left the queue. The message tells the client when to retry, at random over the time in which the queue empties. No request is refused without recent evidence of the rate, and none while the pace of the instance still grows.

--- a/libraries/gateway/backend_pool.cc
+++ b/libraries/gateway/backend_pool.cc
@@ -5,21 +5,14 @@
 
 namespace jackdawturn::gateway {
 
-namespace {
-
-// A request may wait this long behind younger ones whose customer has a
-// connection already; longer than opening a connection takes.
-constexpr Duration kMaxOvertaking = std::chrono::milliseconds(40);
-
-}  // namespace
-
 BackendPool::BackendPool(Timers& timers,
                          OpenBackendSession open,
                          Options options)
     : m_timers(timers),
       m_open(std::move(open)),
       m_options(std::move(options)),
-      m_self(std::make_shared<BackendPool*>(this)) {}
+      m_self(std::make_shared<BackendPool*>(this)),
+      m_random(m_options.seed) {}
 
 BackendPool::~BackendPool() {
   *m_self = nullptr;
@@ -77,6 +70,7 @@
   AcquireOrWait(instance,
                 {.customer = request.customer,
                  .priority = request.priority,
+                 .send_by = request.send_by,
                  .on_acquired = std::move(on_acquired)},
                 request.wait);
 }
@@ -96,6 +90,8 @@
         instance.unreachable_code, "pool.acquire", instance.server.id.value(),
         "instance was unreachable at the last attempt; the "
         "retry delay has not elapsed"));
+  if (const auto refusal = RefusalFor(instance, waiter, wait))
+    return waiter.on_acquired(*refusal);
   Enqueue(instance, std::move(waiter), wait);
   OpenMore(instance);
 }
@@ -103,6 +99,8 @@
 void BackendPool::Enqueue(InstanceConnections& instance,
                           Waiter waiter,
                           Duration wait) {
+  if (waiter.customer)
+    instance.queue_rate.BecameOccupied(m_timers.now());
   waiter.number = m_next_waiter++;
   waiter.since = m_timers.now();
   waiter.timer = m_timers.After(
@@ -127,61 +125,17 @@
   if (waiter == waiters.end())
     return;
   OnAcquired on_acquired = std::move(waiter->on_acquired);
-  waiters.erase(waiter);
+  Erase(found->second, waiter);
   on_acquired(Failure(ErrorCode::kExhausted, "pool.wait", id.value(),
                       "no connection to the instance became free in time"));
 }
 
-const BackendPool::Waiter* BackendPool::NextWithoutConnection(
-    const InstanceConnections& instance) const {
-  if (instance.opening >= instance.waiters.size())
-    return nullptr;
-  const auto in_use_for = [&instance](const Waiter& waiter) -> size_t {
-    const auto found =
-        instance.in_use_for.find(waiter.customer.value_or(CustomerName()));
-    return found == instance.in_use_for.end() ? 0 : found->second;
-  };
-  auto opening_for = instance.opening_for;
-  const Waiter* next = nullptr;
-  for (const Waiter& waiter : instance.waiters) {
-    size_t& opening = opening_for[waiter.customer.value_or(CustomerName())];
-    if (opening > 0) {
-      --opening;
-      continue;
-    }
-    if (!PaceAllows(instance, waiter))
-      continue;
-    if (next && waiter.priority > next->priority)
-      break;
-    if (!next || in_use_for(waiter) < in_use_for(*next))
-      next = &waiter;
-  }
-  return next;
-}
-
-bool BackendPool::MustYield(const InstanceConnections& instance,
-                            const CustomerName& customer) const {
-  const Waiter* other = NextWithoutConnection(instance);
-  if (instance.opening >= m_options.concurrent_opens || !other ||
-      other->Accepts(customer) ||
-      other->since + kMaxOvertaking > m_timers.now())
-    return false;
-  const auto own = std::find_if(
-      instance.waiters.begin(), instance.waiters.end(),
-      [&](const Waiter& waiter) {
-        return waiter.Accepts(customer) && PaceAllows(instance, waiter);
-      });
-  return own == instance.waiters.end() || other->priority <= own->priority;
-}
-
 void BackendPool::Offer(InstanceConnections& instance,
                         ConnectionPtr connection) {
   const CustomerName customer = connection->server.customer;
-  const auto waiter = std::find_if(
-      instance.waiters.begin(), instance.waiters.end(),
-      [&](const Waiter& item) {
-        return item.Accepts(customer) && PaceAllows(instance, item);
-      });
+  const auto waiter = FirstOf(instance, [&](const Waiter& item) {
+    return item.Accepts(customer) && PaceAllows(instance, item);
+  });
   if (waiter != instance.waiters.end() && !MustYield(instance, customer))
     return LendTo(instance, waiter, std::move(connection));
   connection->idle_since = m_timers.now();
@@ -211,7 +165,9 @@
   const OnAcquired on_acquired = std::move(waiter->on_acquired);
   const bool for_statement = waiter->customer.has_value();
   m_timers.Cancel(waiter->timer);
-  instance.waiters.erase(waiter);
+  if (for_statement)
+    instance.queue_rate.Departed(m_timers.now());
+  Erase(instance, waiter);
   Lend(instance, std::move(connection), for_statement, on_acquired);
 }
 
@@ -228,6 +184,7 @@
                               const Error& error) {
   std::list<Waiter> waiters = std::move(instance.waiters);
   instance.waiters.clear();
+  instance.queue_rate.BecameEmpty(m_timers.now());
   for (Waiter& waiter : waiters) {
     m_timers.Cancel(waiter.timer);
     waiter.on_acquired(error);
--- a/libraries/gateway/backend_pool.h
+++ b/libraries/gateway/backend_pool.h
@@ -4,9 +4,12 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
+#include <tuple>
 #include <vector>
 
 #include "gateway/backend_session.h"
+#include "gateway/queue_rate.h"
 #include "gateway/server_pace.h"
 #include "gateway/session_state.h"
 #include "gateway/timers.h"
@@ -38,6 +41,9 @@
   uint64_t priority = 0;
   // How long the request may wait.
   Duration wait{0};
+  // If it is sent later, it misses its latency target; it then waits behind
+  // those of its priority that can still meet theirs.
+  TimePoint send_by = TimePoint::max();
   // The instance is asked as the primary of its group.
   bool as_primary = false;
 };
@@ -61,6 +67,8 @@
   using ConnectionPtr = std::unique_ptr<PooledConnection>;
   using OnAcquired = std::function<void(Result<ConnectionPtr>)>;
 
+  static constexpr const char* kRefusedStep = "pool.refused";
+
   struct Options {
     Duration open_timeout = std::chrono::milliseconds(400);
     // Delay before an instance that refused a connection or did not respond is
@@ -87,8 +95,11 @@
     // Returns whether one idle connection to the instance is kept beyond
     // idle_time; null: always.
     std::function<bool(const BackendServer&)> keep_one_idle;
-    // Whether instances that start or recover are protected by ServerPace.
-    bool paces_servers = true;
+    // For the times at which refused clients retry.
+    uint64_t seed = 0;
+    // Whether ServerPace limits the statements at instances that start or
+    // recover, and requests that would not be served in time are refused.
+    bool limits_load = true;
     // Called when the pace of an instance begins to be limited, with the
     // reason, and when it is no longer limited, with nothing. May be null.
     std::function<void(const BackendServer&, std::optional<PaceReason>)>
@@ -111,6 +122,9 @@
                OnAcquired on_acquired);
   // As Acquire, for a statement of a customer, on a connection that was opened
   // for it. The request also waits until the pace of the instance allows it.
+  // Error kExhausted at the step kRefusedStep: it would not be served within
+  // its wait, and is refused at once; the message tells the client when to
+  // retry.
   void AcquireFor(const StatementRequest& request,
                   const BackendServer& server,
                   OnAcquired on_acquired);
@@ -170,6 +184,7 @@
     std::optional<CustomerName> customer;
     uint64_t priority = 0;
     TimePoint since;
+    TimePoint send_by = TimePoint::max();
     OnAcquired on_acquired;
     Timers::TimerId timer = 0;
 
@@ -200,6 +215,7 @@
     size_t in_progress = 0;
     // Requests may wait beside idle connections, because of the pace.
     bool may_hold_back = false;
+    QueueRate queue_rate;
     bool retry_scheduled = false;
 
     size_t total() const { return idle.size() + in_use + opening; }
@@ -225,21 +241,39 @@
   // Lends an idle connection to the first waiter that may be served by one.
   // Returns whether there was one.
   bool LendIdle(InstanceConnections& instance);
+  // Returns whether an idle connection would serve the waiter.
+  static bool AcceptsIdle(const InstanceConnections& instance,
+                          const Waiter& waiter);
   void OpenMore(InstanceConnections& instance);
   void Open(InstanceConnections& instance, const CustomerName& customer);
-  // Returns the next waiter that may be served and for which no connection is
+  // The priority, whether the latency target is missed, and the customer's
+  // connections in use. Lower is served first.
+  using Rank = std::tuple<uint64_t, bool, size_t>;
+  Rank RankOf(const InstanceConnections& instance, const Waiter& waiter) const;
+  // Returns the waiter that is served first of those for which `eligible`
+  // holds, or the end: by priority, then those that can still meet their
+  // latency target, then those of the customer with the fewest connections in
+  // use, then by age.
+  std::list<Waiter>::iterator FirstOf(
+      InstanceConnections& instance,
+      const std::function<bool(const Waiter&)>& eligible) const;
+  // Returns the first waiter that may be served and for which no connection is
   // being opened, or null.
-  // Among waiters of equal priority, that of the customer with the fewest
-  // connections in use comes first.
-  const Waiter* NextWithoutConnection(
-      const InstanceConnections& instance) const;
+  const Waiter* NextWithoutConnection(InstanceConnections& instance) const;
+  // Returns the error for a request that would not be served within `wait`, or
+  // nothing.
+  std::optional<Error> RefusalFor(const InstanceConnections& instance,
+                                  const Waiter& waiter,
+                                  Duration wait);
+  // Removes a waiter from the queue.
+  void Erase(InstanceConnections& instance, std::list<Waiter>::iterator waiter);
   bool HasRoom(const InstanceConnections& instance) const;
   // Returns whether one more connection may be opened, after closing an idle
   // one if the limit is reached.
   bool MakeRoom(InstanceConnections& instance) const;
   // Returns whether the connection should be closed instead of serving another
   // request of its customer, because another customer has waited for too long.
-  bool MustYield(const InstanceConnections& instance,
+  bool MustYield(InstanceConnections& instance,
                  const CustomerName& customer) const;
   void OnOpened(const InstanceName& id,
                 const CustomerName& customer,
@@ -274,6 +308,7 @@
   // Shared with callbacks that may outlive the pool; null once it is destroyed.
   std::shared_ptr<BackendPool*> m_self;
   uint64_t m_next_waiter = 1;
+  std::mt19937_64 m_random;
 };
 
 }  // namespace jackdawturn::gateway
--- a/libraries/gateway/backend_pool_pace.cc
+++ b/libraries/gateway/backend_pool_pace.cc
@@ -29,7 +29,7 @@
 }
 
 void BackendPool::BeginPace(InstanceConnections& instance, PaceReason reason) {
-  if (!m_options.paces_servers)
+  if (!m_options.limits_load)
     return;
   const bool began = !instance.pace.binds();
   instance.pace.Begin(m_timers.now());
@@ -103,16 +103,22 @@
 }
 
 bool BackendPool::LendIdle(InstanceConnections& instance) {
-  for (auto waiter = instance.waiters.begin(); waiter != instance.waiters.end();
-       ++waiter) {
-    if (!PaceAllows(instance, *waiter))
-      continue;
-    if (ConnectionPtr connection = TakeIdle(instance, waiter->customer)) {
-      LendTo(instance, waiter, std::move(connection));
-      return true;
-    }
-  }
-  return false;
+  const auto waiter = FirstOf(instance, [&](const Waiter& item) {
+    return PaceAllows(instance, item) && AcceptsIdle(instance, item);
+  });
+  if (waiter == instance.waiters.end())
+    return false;
+  LendTo(instance, waiter, TakeIdle(instance, waiter->customer));
+  return true;
+}
+
+bool BackendPool::AcceptsIdle(const InstanceConnections& instance,
+                              const Waiter& waiter) {
+  return std::any_of(instance.idle.begin(), instance.idle.end(),
+                     [&](const ConnectionPtr& connection) {
+                       return connection->session->is_open() &&
+                              waiter.Accepts(connection->server.customer);
+                     });
 }
 
 bool BackendPool::HeldBack(const InstanceName& id) const {
--- a/libraries/gateway/client_session.cc
+++ b/libraries/gateway/client_session.cc
@@ -291,6 +291,7 @@
 void ClientSession::Execute(const ClientStatement& statement,
                             StatementExecution::Input input) {
   input.statement = statement;
+  input.received = m_started;
   input.customer = m_customer;
   if (statement.kind == Kind::kExecute) {
     const auto prepared = m_state.prepared.find(statement.name);
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -27,6 +27,7 @@
 #include "gateway/primary_change_record.h"        // IWYU pragma: export
 #include "gateway/primary_failure_detector.h"     // IWYU pragma: export
 #include "gateway/primary_lease.h"                // IWYU pragma: export
+#include "gateway/queue_rate.h"                   // IWYU pragma: export
 #include "gateway/read_selection.h"               // IWYU pragma: export
 #include "gateway/record_cache.h"                 // IWYU pragma: export
 #include "gateway/relayed_statement_execution.h"  // IWYU pragma: export
--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -214,6 +214,7 @@
   options.keep_one_idle = [this](const BackendServer& server) {
     return m_peers.Holds(server.group, m_context.ConnectionsOf(server.group));
   };
+  options.seed = m_options.seed + 7;
   options.on_pace_change = [this](const BackendServer& server,
                                   std::optional<PaceReason> reason) {
     m_log.LogPaceChange(server.group, server.id, reason);
@@ -227,7 +228,7 @@
   options.idle_time = kPeerIdleTime;
   options.concurrent_opens = kMaxConcurrentPeerOpens;
   // A proxy limits what it accepts by itself.
-  options.paces_servers = false;
+  options.limits_load = false;
   // Otherwise connections to proxies that no longer hold the group would never
   // be closed.
   options.keep_one_idle = [](const BackendServer&) { return false; };
--- a/libraries/gateway/local_statement_execution.cc
+++ b/libraries/gateway/local_statement_execution.cc
@@ -17,9 +17,6 @@
 // For this time after a refusal as lagging, a replica receives no read whose
 // position it is not known to have.
 constexpr Duration kLaggingBackoff = 250ms;
-// Relayed statements are refused after this share of their latency target, so
-// that the relaying proxy has time to retry elsewhere.
-constexpr double kPeerWaitShare = 0.75;
 
 }  // namespace
 
@@ -46,7 +43,8 @@
   const Duration longest = Share(route.statement_timeout, kWaitShare);
   if (!m_input.from_peer)
     return longest;
-  return std::min(longest, Share(route.target_latency, kPeerWaitShare));
+  // The relaying proxy then has time to retry elsewhere.
+  return std::min(longest, Share(route.target_latency, kSendShare));
 }
 
 bool LocalStatementExecution::needs_primary() const {
@@ -103,15 +101,18 @@
   m_target = server->id;
   if (m_context.isolation.isolated_since() && server->zone != m_context.zone)
     return Refuse(kZoneIsolated);
-  m_context.pool.AcquireFor({.customer = m_input.customer,
-                             .priority = m_input.route.priority,
-                             .wait = m_send_deadline - m_context.timers.now(),
-                             .as_primary = target_is_primary()},
-                            *server,
-                            [self = shared_from_this()](
-                                Result<BackendPool::ConnectionPtr> connection) {
-                              self->Acquired(std::move(connection));
-                            });
+  m_context.pool.AcquireFor(
+      {.customer = m_input.customer,
+       .priority = m_input.route.priority,
+       .wait = m_send_deadline - m_context.timers.now(),
+       .send_by =
+           m_input.received + Share(m_input.route.target_latency, kSendShare),
+       .as_primary = target_is_primary()},
+      *server,
+      [self =
+           shared_from_this()](Result<BackendPool::ConnectionPtr> connection) {
+        self->Acquired(std::move(connection));
+      });
 }
 
 const BackendServer* LocalStatementExecution::ChooseServer() {
@@ -151,6 +152,10 @@
   const Error& error = connection.error();
   Log("no_connection",
       {{"reason", error.step}, {"error", std::string(ToString(error.code))}});
+  if (error.step == BackendPool::kRefusedStep) {
+    ReportPrimaryFull();
+    return Refuse(error.message);
+  }
   if (error.code == ErrorCode::kExhausted && error.step == "pool.wait") {
     ReportPrimaryFull();
     return Refuse("no_connection_in_time");
--- a/libraries/gateway/relayed_statement_execution.cc
+++ b/libraries/gateway/relayed_statement_execution.cc
@@ -96,7 +96,9 @@
   m_context.peer_pool.AcquireFor(
       {.customer = m_input.customer,
        .priority = m_input.route.priority,
-       .wait = std::min(kAcquireTimeout, m_send_deadline - now)},
+       .wait = std::min(kAcquireTimeout, m_send_deadline - now),
+       .send_by =
+           m_input.received + Share(m_input.route.target_latency, kSendShare)},
       target, [self = shared_from_this()](auto connection) {
         self->Acquired(std::move(connection));
       });
--- a/libraries/gateway/server_pace.h
+++ b/libraries/gateway/server_pace.h
@@ -48,6 +48,8 @@
   bool Allows(size_t in_progress) const {
     return !m_binds || in_progress < static_cast<size_t>(m_limit);
   }
+  // Returns whether the limit grows and no queue has been seen yet.
+  bool growing() const { return m_binds && !m_queue_seen; }
   // Returns the limit, 1 or more. Precondition: binds().
   size_t limit() const { return static_cast<size_t>(m_limit); }
 
--- a/libraries/gateway/statement_execution.h
+++ b/libraries/gateway/statement_execution.h
@@ -29,6 +29,9 @@
     std::optional<CommitPosition> own_commit;
     // The transaction's connection; null for its first statement.
     BackendPool::ConnectionPtr connection;
+    // When the client's statement arrived, also if it waited behind earlier
+    // ones of its session.
+    TimePoint received;
     // Another proxy relayed the statement and can relay it to a different
     // proxy.
     bool from_peer = false;
@@ -79,6 +82,9 @@
   void MarkSent() { m_sent = true; }
   // A statement not sent within this share of its timeout is refused.
   static constexpr double kWaitShare = 0.6;
+  // A statement that is sent after this share of its latency target is taken to
+  // miss it.
+  static constexpr double kSendShare = 0.75;
 
   static ClientReply ErrorReply(ReplyCode code, std::string message);
   // Returns the reply that tells what became of the statement at `index` of a
--- a/tests/gateway/sessions_test.cc
+++ b/tests/gateway/sessions_test.cc
@@ -201,4 +201,39 @@
   cr_expect_eq(rig.group.opened, opened);
 }
 
+// A transaction holds locks, so its later statements never wait for the pace,
+// while single statements do.
+Test(gateway_sessions, later_statements_of_a_transaction_are_not_held_back) {
+  GatewayRig rig;
+  const auto write = [](const char* text) {
+    return StatementOf(ClientStatement::Kind::kWrite, text);
+  };
+  const auto transaction = rig.Open("strict");
+  transaction->Handle(StatementOf(ClientStatement::Kind::kBegin, "BEGIN"));
+  transaction->Handle(write("WRITE 1 x"));
+  rig.timers.Advance(20ms);
+  rig.pool.Started(rig.group.At("p").server);
+  BackendPool::ConnectionPtr in_the_way;
+  rig.pool.AcquireFor(
+      {.wait = 100ms, .as_primary = true}, rig.group.At("p").server,
+      [&](auto connection) { in_the_way = std::move(connection.value()); });
+  rig.timers.Advance(20ms);
+  cr_assert(in_the_way);
+  rig.replies.clear();
+  const auto single = rig.Open("strict");
+  single->Handle(write("WRITE 2 x"));
+  rig.timers.Advance(100ms);
+  cr_assert(rig.replies.empty());
+  transaction->Handle(write("WRITE 3 x"));
+  rig.timers.Advance(20ms);
+  cr_assert_eq(rig.replies.size(), 1U);
+  cr_assert_eq(rig.replies.back().code, ReplyCode::kDone);
+  rig.pool.Release(std::move(in_the_way));
+  rig.timers.Advance(20ms);
+  cr_assert_eq(rig.replies.size(), 2U);
+  cr_assert_eq(rig.replies.back().code, ReplyCode::kDone);
+  transaction->Disconnect();
+  rig.timers.Advance(20ms);
+}
+
 }  // namespace jackdawturn::gateway
