Gateway: Limit how often statements are sent again

A statement that an instance had no room for was sent again each 15 ms until its wait ended, and a repeatable read that was not answered was sent to another instance. RetryBudget limits both to a tenth of the answers, with a reserve for the statements that one failing instance leaves unanswered. Beyond it the client is told at once that the statement did not run, or was not answered.

--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -22,6 +22,7 @@
 #include "gateway/store_contact.h"
 #include "gateway/timers.h"
 #include "gateway/zone_isolation.h"
+#include "routing/routing.h"
 
 namespace jackdawturn::gateway {
 
@@ -82,6 +83,10 @@
                      TimePoint deadline,
                      std::function<void(OperationDecision)> on_decision)>
       admit_operation;
+  // Limits how many statements are sent again after an instance had no room
+  // for them or did not answer. The reserve covers the statements that one
+  // instance leaves unanswered when it fails.
+  routing::RetryBudget retries{{.share = 0.1, .max_tokens = 32}};
   // When a group last lost an instance together with its log. Before `started`,
   // such a loss may have occurred at any time, unobserved by this proxy.
   std::map<GroupName, TimePoint> last_member_loss;
--- a/libraries/gateway/local_statement_execution.cc
+++ b/libraries/gateway/local_statement_execution.cc
@@ -305,6 +305,8 @@
     else if (reply.code != ReplyCode::kDone && batch.outcome == Outcome::kRan)
       batch.outcome = Outcome::kRefused;
   }
+  if (batch.outcome == Outcome::kRan)
+    m_context.retries.Succeeded();
   m_context.pool.Answered(*m_connection, batch);
 }
 
@@ -357,7 +359,10 @@
     case ReplyCode::kBusy:
       ReportPrimaryFull();
       m_avoided.insert(m_target);
-      break;
+      if (m_context.retries.TryTake())
+        break;
+      Refuse(kRetryBudget);
+      return true;
     default:
       break;
   }
--- a/libraries/gateway/local_statement_timeouts.cc
+++ b/libraries/gateway/local_statement_timeouts.cc
@@ -42,7 +42,7 @@
     KeepUntilAnswered(m_batch - 1);
   if (!m_on_done)
     return;
-  if (!m_input.repeatable())
+  if (!m_input.repeatable() || !m_context.retries.TryTake())
     return FinishUnanswered("no answer in time");
   m_avoided.insert(m_target);
   StartAttempt();
@@ -90,7 +90,7 @@
   if (!m_on_done)
     return;
   Log("broken", {{"error", message}});
-  if (m_input.repeatable()) {
+  if (m_input.repeatable() && m_context.retries.TryTake()) {
     m_avoided.insert(m_target);
     return ScheduleAttempt(Duration(0));
   }
--- a/libraries/gateway/statement_execution.h
+++ b/libraries/gateway/statement_execution.h
@@ -110,6 +110,8 @@
 inline constexpr const char* kNoInstance = "no_instance_in_time";
 // The primary cannot be shown to be the current one.
 inline constexpr const char* kNoLease = "no_lease_in_time";
+// The instance had no room, and too many statements were sent again already.
+inline constexpr const char* kRetryBudget = "retry_budget";
 // This proxy stops.
 inline constexpr const char* kDraining = "draining";
 
--- a/tests/gateway/fake_group.h
+++ b/tests/gateway/fake_group.h
@@ -33,6 +33,8 @@
     unsigned busy_answers = 0;
     // Answers every second begin of a transaction with "busy".
     bool overloaded = false;
+    // Answers every begin of a transaction with "busy".
+    bool refuses_begins = false;
     size_t begun = 0;
     // Has received all commits, but has not applied those that reads require.
     bool behind = false;
@@ -159,8 +161,9 @@
     reply.code = ReplyCode::kBusy;
     return reply;
   }
-  if (instance.overloaded && command.kind == Kind::kBegin &&
-      ++instance.begun % 2 == 0) {
+  if (command.kind == Kind::kBegin &&
+      (instance.overloaded || instance.refuses_begins) &&
+      (++instance.begun % 2 == 0 || instance.refuses_begins)) {
     reply.code = ReplyCode::kBusy;
     return reply;
   }
--- a/tests/gateway/sessions_test.cc
+++ b/tests/gateway/sessions_test.cc
@@ -1,4 +1,6 @@
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "gateway/fake_group.h"
 
@@ -236,4 +238,25 @@
   rig.timers.Advance(20ms);
 }
 
+// The statements of many clients at an instance that has no room for them must
+// not be sent again and again: that would multiply the load that it cannot
+// bear. Each of them is told that it did not run.
+Test(gateway_sessions, retries_do_not_multiply_the_load_of_a_full_instance) {
+  constexpr size_t kClients = 200;
+  GatewayRig rig;
+  rig.group.At("p").refuses_begins = true;
+  std::vector<std::shared_ptr<ClientSession>> sessions;
+  for (size_t count = 0; count < kClients; ++count) {
+    sessions.push_back(rig.Open("strict"));
+    sessions.back()->Handle(Read());
+    rig.timers.Advance(2ms);
+  }
+  rig.timers.Advance(1s);
+  cr_assert_eq(rig.replies.size(), kClients);
+  for (const ClientReply& reply : rig.replies)
+    cr_expect_eq(reply.code, ReplyCode::kBusy);
+  cr_expect_leq(rig.group.At("p").begun, kClients + kClients / 5, "%zu",
+                rig.group.At("p").begun);
+}
+
 }  // namespace jackdawturn::gateway
