--- a/libraries/gateway/peer_directory.h
+++ b/libraries/gateway/peer_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -72,6 +73,12 @@
   // further failure, up to 32 times as long.
   static constexpr Duration kSuspectTime = std::chrono::milliseconds(1'500);
 
+  // With three voters, any two majorities share one, and one may be lost.
+  static constexpr size_t kGrantVoters = 3;
+  // With the time between failures, a loss of 22.5 s or longer. A partition
+  // within a zone that lasts as long may give it two grantors.
+  static constexpr unsigned kVoterLossFailures = 5;
+
   PeerDirectory(VmName self, ZoneName zone);
 
   // Replaces all peers by those listed in the store.
@@ -112,6 +119,21 @@
   std::vector<Peer> PossibleHolders(const GroupName& group,
                                     size_t instance_connections);
 
+  // Returns the proxy of this zone to ask for permits of a customer with a rate
+  // limit, or null when this proxy is to grant them itself.
+  const Peer* ChooseGrantor(const CustomerName& customer, TimePoint now) const;
+  // Returns the proxy of another zone to ask, or null if none is usable.
+  const Peer* ChooseGrantorOf(const ZoneName& zone,
+                              const CustomerName& customer,
+                              TimePoint now) const;
+  // Returns the proxies of this zone that vote on who grants a customer's
+  // permits, at most kGrantVoters of them. One that has not answered
+  // kVoterLossFailures times is replaced as voter.
+  std::vector<VmName> GrantVoters(const CustomerName& customer) const;
+  // Returns the number of zones, from 1 on.
+  size_t zone_count() const { return m_other_zones.size() + 1; }
+  const std::vector<ZoneName>& other_zones() const { return m_other_zones; }
+
   // Returns one peer of each other zone that is not leaving, chosen at random.
   std::vector<const Peer*> OneOfEachOtherZone(std::mt19937_64& random) const;
   // Returns whether the peer is known and in this proxy's zone.
@@ -131,6 +153,14 @@
 
   // Returns the candidates of each zone, this proxy's zone first.
   const std::vector<HolderOrder>& HoldersByZone(const GroupName& group);
+  // Returns the proxies of a zone that may grant permits of a customer, the
+  // preferred one first, at most `count` of those that `accepted` returns true
+  // for.
+  std::vector<const Peer*> GrantCandidates(
+      const ZoneName& zone,
+      const CustomerName& customer,
+      size_t count,
+      const std::function<bool(const Peer&)>& accepted) const;
   bool Usable(const VmName& name, TimePoint now) const;
   // Updates the state derived from m_peers; called after each change of it.
   void RefreshDerivedState();
@@ -143,6 +173,7 @@
   size_t m_active_peers = 0;
   // Those of them in this proxy's zone that can be watched.
   size_t m_watchable_peers = 0;
+  std::vector<ZoneName> m_other_zones;
   std::map<VmName, Suspicion> m_suspicions;
   // Cache, filled from m_peers on demand.
   std::map<GroupName, std::vector<HolderOrder>> m_holders_by_group;
