--- a/libraries/gateway/backend_pool.h
+++ b/libraries/gateway/backend_pool.h
@@ -190,8 +190,8 @@
 
     // Returns for whom a connection is opened.
     const CustomerName& owner() const {
-      static const CustomerName kProxyItself;
-      return customer ? *customer : kProxyItself;
+      static const CustomerName proxy_itself;
+      return customer ? *customer : proxy_itself;
     }
     bool Accepts(const CustomerName& opened_for) const {
       return !customer || *customer == opened_for;
