--- a/libraries/gateway/gateway_log.cc
+++ b/libraries/gateway/gateway_log.cc
@@ -39,6 +39,20 @@
          .fields = std::move(fields)});
 }
 
+void GatewayLog::LogPaceChange(const GroupName& group,
+                               const InstanceName& instance,
+                               std::optional<PaceReason> reason) {
+  MetricGauge& held_back = m_metrics.FindGauge(
+      "jackdawturn_instances_held_back",
+      "Instances that receive only as many statements as they are seen to "
+      "bear.");
+  held_back.Set(held_back.value() + (reason ? 1 : -1));
+  LogStateChange(
+      EventKind::kMembership, group, reason ? "held_back" : "not_held_back",
+      instance.value(),
+      reason ? Fields{{"reason", std::string(ToString(*reason))}} : Fields{});
+}
+
 void GatewayLog::RecordStatement(ReplyCode code, Duration latency) {
   StatementSeries& series = m_statements[code];
   if (!series.count) {
@@ -54,6 +68,14 @@
   series.latency->Record(latency);
 }
 
+void GatewayLog::CountRefused(const std::string& reason) {
+  m_metrics
+      .FindCounter("jackdawturn_statements_refused_total",
+                   "Statements that were refused as not run.",
+                   {{"reason", reason}})
+      .Add();
+}
+
 void GatewayLog::CountUnanswered(const std::string& reason) {
   m_metrics
       .FindCounter("jackdawturn_statements_unanswered_total",
--- a/libraries/gateway/local_statement_execution.cc
+++ b/libraries/gateway/local_statement_execution.cc
@@ -11,16 +11,6 @@
 using CommandKind = BackendCommand::Kind;
 using StatementKind = ClientStatement::Kind;
 
-// The delay before the next attempt when no instance is available or the
-// statement was refused.
-constexpr Duration kRetryDelay = 15ms;
-// For this time after a refusal as lagging, a replica receives no read whose
-// position it is not known to have.
-constexpr Duration kLaggingBackoff = 250ms;
-// Relayed statements are refused after this share of their latency target, so
-// that the relaying proxy has time to retry elsewhere.
-constexpr double kPeerWaitShare = 0.75;
-
 }  // namespace
 
 std::shared_ptr<LocalStatementExecution> LocalStatementExecution::Create(
@@ -46,7 +36,8 @@
   const Duration longest = Share(route.statement_timeout, kWaitShare);
   if (!m_input.from_peer)
     return longest;
-  return std::min(longest, Share(route.target_latency, kPeerWaitShare));
+  // The relaying proxy then has time to retry elsewhere.
+  return std::min(longest, Share(route.target_latency, kSendShare));
 }
 
 bool LocalStatementExecution::needs_primary() const {
@@ -111,12 +102,18 @@
   m_target = server->id;
   if (m_context.isolation.isolated_since() && server->zone != m_context.zone)
     return Refuse(kZoneIsolated);
-  m_context.pool.AcquireFor(m_input.customer, *server, m_input.route.priority,
-                            m_send_deadline - m_context.timers.now(),
-                            [self = shared_from_this()](
-                                Result<BackendPool::ConnectionPtr> connection) {
-                              self->Acquired(std::move(connection));
-                            });
+  m_context.pool.AcquireFor(
+      {.customer = m_input.customer,
+       .priority = m_input.route.priority,
+       .wait = m_send_deadline - m_context.timers.now(),
+       .send_by =
+           m_input.received + Share(m_input.route.target_latency, kSendShare),
+       .as_primary = target_is_primary()},
+      *server,
+      [self =
+           shared_from_this()](Result<BackendPool::ConnectionPtr> connection) {
+        self->Acquired(std::move(connection));
+      });
 }
 
 const BackendServer* LocalStatementExecution::ChooseServer() {
@@ -158,6 +155,10 @@
   const Error& error = connection.error();
   Log("no_connection",
       {{"reason", error.step}, {"error", std::string(ToString(error.code))}});
+  if (error.step == BackendPool::kRefusedStep) {
+    ReportPrimaryFull();
+    return Refuse(error.message);
+  }
   if (error.code == ErrorCode::kExhausted && error.step == "pool.wait") {
     ReportPrimaryFull();
     return Refuse("no_connection_in_time");
@@ -212,16 +213,17 @@
   else if (m_context.needs_leases())
     begin.after = m_input.own_commit;
   commands.push_back(std::move(begin));
-  Send(std::move(commands), [this](const std::vector<BackendReply>& replies) {
-    const BackendReply& begun = DecidingReply(replies, replies.size() - 1);
-    if (begun.code == ReplyCode::kDone) {
-      m_required.reset();
-      return SendStatement();
-    }
-    ReleaseConnection();
-    if (!RetryIfNotRun(begun))
-      Finish(ErrorReply(begun.code, begun.message));
-  });
+  Send(StatementStep::kBegin, std::move(commands),
+       [this](const std::vector<BackendReply>& replies) {
+         const BackendReply& begun = DecidingReply(replies, replies.size() - 1);
+         if (begun.code == ReplyCode::kDone) {
+           m_required.reset();
+           return SendStatement();
+         }
+         ReleaseConnection();
+         if (!RetryIfNotRun(begun))
+           Finish(ErrorReply(begun.code, begun.message));
+       });
 }
 
 void LocalStatementExecution::SendStatement() {
@@ -235,16 +237,21 @@
   MarkSent();
   if (m_implicit_transaction)
     commands.push_back({.kind = CommandKind::kRollback});
-  Send(std::move(commands),
+  const StatementStep step = m_input.is_commit() ? StatementStep::kCommit
+                             : m_input.writes()  ? StatementStep::kWrite
+                                                 : StatementStep::kRead;
+  Send(step, std::move(commands),
        [this, index](const std::vector<BackendReply>& replies) {
          StatementReplied(DecidingReply(replies, index));
        });
 }
 
 void LocalStatementExecution::Send(
+    StatementStep step,
     std::vector<BackendCommand> commands,
     std::function<void(std::vector<BackendReply>)> on_replies) {
   const uint64_t batch = ++m_batch;
+  m_step = step;
   m_sent_at = m_context.timers.now();
   TimePoint times_out_at = m_deadline;
   if (!m_input.changes_data())
@@ -256,6 +263,7 @@
                                  self->ResponseTimedOut();
                              });
   m_context.failure_detector.Sent(m_target, m_input.changes_data(), m_sent_at);
+  m_context.pool.Sent(*m_connection);
   m_connection->session->Send(
       std::move(commands),
       [self = shared_from_this(), batch, on_replies = std::move(on_replies)](
@@ -278,9 +286,31 @@
   m_context.zone_reachability.Reached(m_target, m_context.timers.now());
   m_instance_state = replies.value().back().state;
   m_connection->state.Replied(replies.value());
-  if (!m_on_done)
-    return ReleaseConnection();
-  handler(std::move(replies.value()));
+  RecordAnswer(replies.value());
+  const InstanceName answered_by = m_target;
+  if (m_on_done)
+    handler(std::move(replies.value()));
+  else
+    ReleaseConnection();
+  m_context.pool.ServeWaiting(answered_by);
+}
+
+void LocalStatementExecution::RecordAnswer(
+    const std::vector<BackendReply>& replies) {
+  using Outcome = AnsweredBatch::Outcome;
+  AnsweredBatch batch;
+  batch.database = m_input.route.database;
+  batch.step = m_step;
+  batch.sent_at = m_sent_at;
+  for (const BackendReply& reply : replies) {
+    if (reply.code == ReplyCode::kBusy)
+      batch.outcome = Outcome::kNoRoom;
+    else if (reply.code != ReplyCode::kDone && batch.outcome == Outcome::kRan)
+      batch.outcome = Outcome::kRefused;
+  }
+  if (batch.outcome == Outcome::kRan)
+    m_context.retries.Succeeded();
+  m_context.pool.Answered(*m_connection, batch);
 }
 
 void LocalStatementExecution::StatementReplied(const BackendReply& reply) {
@@ -305,47 +335,6 @@
   Finish(std::move(answer));
 }
 
-bool LocalStatementExecution::RetryIfNotRun(const BackendReply& reply) {
-  if (!GuaranteesNotRun(reply.code))
-    return false;
-  // A repeatable statement may have run before, at an instance that did not
-  // answer.
-  m_may_have_run = m_may_have_run && m_input.repeatable();
-  Log("retry", {{"code", std::string(ToString(reply.code))},
-                {"message", reply.message}});
-  switch (reply.code) {
-    case ReplyCode::kReadOnly:
-      m_context.directory.MarkDemoted(m_target);
-      break;
-    case ReplyCode::kLagging:
-      if (target_is_primary()) {
-        // It lacks an acknowledged commit, so another one has replaced it.
-        m_context.directory.MarkDemoted(m_target);
-        break;
-      }
-      m_context.progress[m_target].lagging_until =
-          m_context.timers.now() + kLaggingBackoff;
-      m_context.lag_monitor.Lagging(m_target, m_context.timers.now());
-      m_avoided.insert(m_target);
-      ScheduleAttempt(Duration(0));
-      return true;
-    case ReplyCode::kBusy:
-      ReportPrimaryFull();
-      m_avoided.insert(m_target);
-      break;
-    default:
-      break;
-  }
-  ScheduleAttempt(kRetryDelay);
-  return true;
-}
-
-void LocalStatementExecution::ReportPrimaryFull() {
-  if (target_is_primary())
-    m_context.lag_monitor.PrimaryFull(m_input.route.group,
-                                      m_context.timers.now());
-}
-
 void LocalStatementExecution::ReleaseConnection() {
   if (m_connection)
     m_context.pool.RollBackAndRelease(std::move(m_connection),
--- a/libraries/gateway/local_statement_execution.h
+++ b/libraries/gateway/local_statement_execution.h
@@ -29,6 +29,9 @@
   // Covers the resolution of PositionHistory and the time from the client's
   // first byte until a position is chosen.
   static constexpr Duration kStalenessMargin = std::chrono::milliseconds(50);
+  // The delay before the next attempt when no instance is available or the
+  // statement was refused.
+  static constexpr Duration kRetryDelay = std::chrono::milliseconds(15);
 
   LocalStatementExecution(GatewayContext& context, Input input, OnDone on_done);
 
@@ -59,10 +62,13 @@
   bool lease_suffices() const;
   void BeginTransaction();
   void SendStatement();
-  void Send(std::vector<BackendCommand> commands,
+  void Send(StatementStep step,
+            std::vector<BackendCommand> commands,
             std::function<void(std::vector<BackendReply>)> on_replies);
   void Replied(Result<std::vector<BackendReply>> replies,
                const std::function<void(std::vector<BackendReply>)>& handler);
+  // Tells the pool of the answer to the batch in progress.
+  void RecordAnswer(const std::vector<BackendReply>& replies);
   void ResponseTimedOut();
   // Releases the connection once the batch is answered, or closes it after
   // kLateReplyTimeout.
@@ -120,6 +126,8 @@
   std::set<InstanceName> m_avoided;
   InstanceName m_target;
   TimePoint m_sent_at;
+  // What the batch in progress does.
+  StatementStep m_step = StatementStep::kRead;
   uint64_t m_batch = 0;
   // Connections whose batch timed out and may still be answered, by batch.
   std::map<uint64_t, BackendPool::ConnectionPtr> m_timed_out_connections;
--- a/libraries/gateway/local_statement_refusals.cc
+++ b/libraries/gateway/local_statement_refusals.cc
@@ -40,6 +40,8 @@
        {"waited_us",
         std::to_string((m_context.timers.now() - m_received).count())},
        {"attempts", std::to_string(m_attempts)}});
+  // What follows the reason is for the client.
+  m_context.log.CountRefused(reason.substr(0, reason.find(' ')));
   Finish(ErrorReply(ReplyCode::kBusy, reason));
 }
 
--- a/libraries/gateway/local_statement_timeouts.cc
+++ b/libraries/gateway/local_statement_timeouts.cc
@@ -32,6 +32,7 @@
         std::to_string((m_context.timers.now() - m_sent_at).count())}});
   m_context.failure_detector.Lost(m_target, m_input.changes_data(),
                                   m_context.timers.now());
+  m_context.pool.Unanswered(*m_connection, m_sent_at);
   // A statement that commits nothing is rolled back when its answer arrives.
   // Closing the connection now would waste the instance's work, and opening
   // another would take one of the instance's slots.
@@ -41,7 +42,7 @@
     KeepUntilAnswered(m_batch - 1);
   if (!m_on_done)
     return;
-  if (!m_input.repeatable())
+  if (!m_input.repeatable() || !m_context.retries.TryTake())
     return FinishUnanswered("no answer in time");
   m_avoided.insert(m_target);
   StartAttempt();
@@ -84,11 +85,12 @@
   ++m_batch;
   m_context.failure_detector.Lost(m_target, m_input.changes_data(),
                                   m_context.timers.now());
+  m_context.pool.Unanswered(*m_connection, m_sent_at);
   m_context.pool.Discard(std::move(m_connection));
   if (!m_on_done)
     return;
   Log("broken", {{"error", message}});
-  if (m_input.repeatable()) {
+  if (m_input.repeatable() && m_context.retries.TryTake()) {
     m_avoided.insert(m_target);
     return ScheduleAttempt(Duration(0));
   }
--- a/libraries/gateway/relayed_statement_execution.cc
+++ b/libraries/gateway/relayed_statement_execution.cc
@@ -94,9 +94,12 @@
   const BackendServer target = MakeRelayServer(
       *holder, m_input.route.database, m_input.route.last_changed_version);
   m_context.peer_pool.AcquireFor(
-      m_input.customer, target, m_input.route.priority,
-      std::min(kAcquireTimeout, m_send_deadline - now),
-      [self = shared_from_this()](auto connection) {
+      {.customer = m_input.customer,
+       .priority = m_input.route.priority,
+       .wait = std::min(kAcquireTimeout, m_send_deadline - now),
+       .send_by =
+           m_input.received + Share(m_input.route.target_latency, kSendShare)},
+      target, [self = shared_from_this()](auto connection) {
         self->Acquired(std::move(connection));
       });
 }
--- a/tests/gateway/sessions_test.cc
+++ b/tests/gateway/sessions_test.cc
@@ -1,4 +1,6 @@
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "gateway/fake_group.h"
 
@@ -201,4 +203,60 @@
   cr_expect_eq(rig.group.opened, opened);
 }
 
+// A transaction holds locks, so its later statements never wait for the pace,
+// while single statements do.
+Test(gateway_sessions, later_statements_of_a_transaction_are_not_held_back) {
+  GatewayRig rig;
+  const auto write = [](const char* text) {
+    return StatementOf(ClientStatement::Kind::kWrite, text);
+  };
+  const auto transaction = rig.Open("strict");
+  transaction->Handle(StatementOf(ClientStatement::Kind::kBegin, "BEGIN"));
+  transaction->Handle(write("WRITE 1 x"));
+  rig.timers.Advance(20ms);
+  rig.pool.Started(rig.group.At("p").server);
+  BackendPool::ConnectionPtr in_the_way;
+  rig.pool.AcquireFor(
+      {.wait = 100ms, .as_primary = true}, rig.group.At("p").server,
+      [&](auto connection) { in_the_way = std::move(connection.value()); });
+  rig.timers.Advance(20ms);
+  cr_assert(in_the_way);
+  rig.replies.clear();
+  const auto single = rig.Open("strict");
+  single->Handle(write("WRITE 2 x"));
+  rig.timers.Advance(100ms);
+  cr_assert(rig.replies.empty());
+  transaction->Handle(write("WRITE 3 x"));
+  rig.timers.Advance(20ms);
+  cr_assert_eq(rig.replies.size(), 1U);
+  cr_assert_eq(rig.replies.back().code, ReplyCode::kDone);
+  rig.pool.Release(std::move(in_the_way));
+  rig.timers.Advance(20ms);
+  cr_assert_eq(rig.replies.size(), 2U);
+  cr_assert_eq(rig.replies.back().code, ReplyCode::kDone);
+  transaction->Disconnect();
+  rig.timers.Advance(20ms);
+}
+
+// The statements of many clients at an instance that has no room for them must
+// not be sent again and again: that would multiply the load that it cannot
+// bear. Each of them is told that it did not run.
+Test(gateway_sessions, retries_do_not_multiply_the_load_of_a_full_instance) {
+  constexpr size_t kClients = 200;
+  GatewayRig rig;
+  rig.group.At("p").refuses_begins = true;
+  std::vector<std::shared_ptr<ClientSession>> sessions;
+  for (size_t count = 0; count < kClients; ++count) {
+    sessions.push_back(rig.Open("strict"));
+    sessions.back()->Handle(Read());
+    rig.timers.Advance(2ms);
+  }
+  rig.timers.Advance(1s);
+  cr_assert_eq(rig.replies.size(), kClients);
+  for (const ClientReply& reply : rig.replies)
+    cr_expect_eq(reply.code, ReplyCode::kBusy);
+  cr_expect_leq(rig.group.At("p").begun, kClients + kClients / 5, "%zu",
+                rig.group.At("p").begun);
+}
+
 }  // namespace jackdawturn::gateway
