--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -36,6 +36,7 @@
 #include "gateway/session_state.h"                // IWYU pragma: export
 #include "gateway/shared_watches.h"               // IWYU pragma: export
 #include "gateway/store_contact.h"                // IWYU pragma: export
+#include "gateway/store_era.h"                    // IWYU pragma: export
 #include "gateway/store_sync.h"                   // IWYU pragma: export
 #include "gateway/timers.h"                       // IWYU pragma: export
 #include "gateway/zone_isolation.h"               // IWYU pragma: export
--- a/libraries/gateway/gateway_context.h
+++ b/libraries/gateway/gateway_context.h
@@ -52,6 +52,9 @@
   GatewayLog& log;
   ZoneName zone;
   StoreContact store_contact;
+  // When this proxy learned that the present era of the store has begun, in
+  // which the store may lack claims; nullopt if the store has no eras.
+  std::optional<TimePoint> store_restored_at;
   ClaimsView claims;
   // The current configuration; null until the first one is received.
   std::shared_ptr<const GatewayConfig> config;
--- a/libraries/gateway/gateway_host.cc
+++ b/libraries/gateway/gateway_host.cc
@@ -1,4 +1,5 @@
 #include "gateway/gateway_host.h"
+#include "gateway/random_delay.h"
 
 #include <algorithm>
 #include <utility>
@@ -136,6 +137,10 @@
 }
 
 void GatewayHost::Start() {
+  m_ports.store.era().SetOnBegan(
+      [this](std::optional<uint64_t> previous, uint64_t era) {
+        StoreEraBegan(previous, era);
+      });
   m_configuration_sync.Start();
   m_servers_sync.Start();
   m_peers_sync.Start();
@@ -243,6 +248,29 @@
   m_context.store_contact.Answered(now - age);
 }
 
+void GatewayHost::StoreEraBegan(std::optional<uint64_t> previous,
+                                uint64_t era) {
+  const TimePoint now = m_ports.timers.now();
+  // The era that a proxy finds when it starts may have begun just before.
+  if (m_ports.store.era().has_eras())
+    m_context.store_restored_at = now;
+  if (!previous)
+    return;
+  m_log.CountStoreRestored();
+  m_log.LogStateChange(
+      EventKind::kPlatform, GroupName(), "store_restored", "",
+      {{"old_era", std::to_string(*previous)},
+       {"new_era", std::to_string(era)},
+       {"lists", "configuration servers peers primary_changes"}});
+  m_context.store_contact.Reset();
+  m_context.claims.StoreRestored(now, PrimaryChange::kPromotionTimeLimit);
+  m_next_claims_refresh =
+      now + RandomDelay(m_random, {}, PrimaryChange::kPromotionTimeLimit / 2);
+  for (StoreSync* sync :
+       {&m_configuration_sync, &m_servers_sync, &m_peers_sync, &m_changes_sync})
+    sync->StoreRestored();
+}
+
 void GatewayHost::Tick() {
   m_ports.timers.After(kTickInterval, [this] { Tick(); });
   if (m_servers_sync.store_reachable()) {
--- a/libraries/gateway/gateway_host.h
+++ b/libraries/gateway/gateway_host.h
@@ -135,7 +135,10 @@
   void ServerUnlisted(const InstanceName& id, uint64_t revision);
   // Returns nothing, and logs the error, for an invalid record.
   std::optional<BackendServer> DecodeServer(const StoredRecord& record);
-  void UpdateServer(const BackendServer& server);
+  void UpdateServer(BackendServer server);
+  // Returns whether the entry is of an earlier start of its instance than the
+  // known one, because the store has come back from an older copy.
+  bool PrecedesKnownStart(const BackendServer& server) const;
   // Finds out whether an instance that the store has not listed for its grace
   // period still runs, and forgets it if not.
   void CheckUnlisted(const BackendServer& server);
@@ -156,6 +159,8 @@
   Duration NonHolderDelay(const GroupName& group);
   void StoreReachabilityChanged(const char* collection, const Error* lost);
   void StoreAnswered(Duration age);
+  // The answers of the store show an era for the first time, or a later one.
+  void StoreEraBegan(std::optional<uint64_t> previous, uint64_t era);
   void Tick();
   void CheckIsolation();
   // Probes one proxy of each other zone.
@@ -199,6 +204,9 @@
   uint64_t m_ticks = 0;
   bool m_servers_listed = false;
   bool m_claims_refreshing = false;
+  // Claims that the store may have lost are not asked for before this time, so
+  // that the proxies do not ask at once.
+  TimePoint m_next_claims_refresh;
   // Whether this proxy hears of claims, as last logged.
   bool m_claims_known = false;
   // The isolation of this proxy's zone as last logged.
--- a/libraries/gateway/gateway_host_changes.cc
+++ b/libraries/gateway/gateway_host_changes.cc
@@ -111,6 +111,7 @@
   GroupMembers members;
   members.primary = primary->id;
   members.term = required->term;
+  members.era = m_ports.store.era().current();
   bool covered = false;
   for (const BackendServer* server : m_directory.All(group)) {
     members.incarnations[server->id] = server->incarnation;
--- a/libraries/gateway/gateway_host_records.cc
+++ b/libraries/gateway/gateway_host_records.cc
@@ -53,6 +53,8 @@
     if (!server)
       continue;
     ++listed;
+    if (PrecedesKnownStart(*server))
+      continue;
     unlisted.erase(server->id);
     UpdateServer(*server);
   }
@@ -96,10 +98,23 @@
   return std::nullopt;
 }
 
-void GatewayHost::UpdateServer(const BackendServer& server) {
+bool GatewayHost::PrecedesKnownStart(const BackendServer& server) const {
+  const BackendServer* known = m_directory.Find(server.id);
+  return known && RevisionEra(server.revision) > RevisionEra(known->revision) &&
+         server.incarnation < known->incarnation;
+}
+
+void GatewayHost::UpdateServer(BackendServer server) {
   const BackendServer* known = m_directory.Find(server.id);
   if (known && server.revision < known->revision)
     return;
+  if (PrecedesKnownStart(server))
+    return;
+  // An instance that leaves stays leaving until it ends; the copy may be from
+  // before.
+  if (known && known->incarnation == server.incarnation &&
+      RevisionEra(server.revision) > RevisionEra(known->revision))
+    server.draining = server.draining || known->draining;
   if (!known || known->role != server.role ||
       known->draining != server.draining ||
       known->incarnation != server.incarnation) {
@@ -153,7 +168,7 @@
   if (known != std::exchange(m_claims_known, known))
     m_log.LogStateChange(EventKind::kFailover, GroupName(),
                          known ? "claims_known" : "claims_unknown", "", {});
-  if (!incomplete || m_claims_refreshing)
+  if (!incomplete || m_claims_refreshing || now < m_next_claims_refresh)
     return;
   m_claims_refreshing = true;
   m_changes_sync.Refresh(
--- a/libraries/gateway/gateway_log.cc
+++ b/libraries/gateway/gateway_log.cc
@@ -76,6 +76,13 @@
       .Add();
 }
 
+void GatewayLog::CountStoreRestored() {
+  m_metrics
+      .FindCounter("jackdawturn_store_restored_total",
+                   "Returns of the metadata store from an older copy.", {})
+      .Add();
+}
+
 void GatewayLog::CountMissingCommit(bool proven) {
   m_metrics
       .FindCounter("jackdawturn_commits_missing_total",
--- a/libraries/gateway/gateway_log.h
+++ b/libraries/gateway/gateway_log.h
@@ -43,6 +43,8 @@
   void CountUnauthorized();
   // Counts a configuration that is not valid and was left out.
   void CountRefusedConfiguration();
+  // Counts a return of the store from an older copy.
+  void CountStoreRestored();
   // Counts an acknowledged commit that a later primary lacks or, if that is not
   // `proven`, may lack.
   void CountMissingCommit(bool proven);
--- a/libraries/gateway/group_members.cc
+++ b/libraries/gateway/group_members.cc
@@ -25,10 +25,12 @@
   boost::json::object incarnations;
   for (const auto& [id, incarnation] : members.incarnations)
     incarnations[id.value()] = incarnation;
-  return boost::json::serialize(
-      boost::json::object{{"born", std::move(incarnations)},
-                          {"primary", members.primary.value()},
-                          {"term", members.term}});
+  boost::json::object body{{"born", std::move(incarnations)},
+                           {"primary", members.primary.value()},
+                           {"term", members.term}};
+  if (members.era > 0)
+    body["era"] = members.era;
+  return boost::json::serialize(body);
 }
 
 Result<GroupMembers> DecodeMembers(const std::string& body) {
@@ -38,6 +40,7 @@
   TRY(const std::string primary, fields.String("primary"));
   members.primary = InstanceName(primary);
   TRY(members.term, fields.Number("term"));
+  TRY(members.era, fields.NumberOr("era", 0));
   TRY(const JsonFields incarnations, fields.Object("born"));
   for (const auto& entry : incarnations.object()) {
     const std::string id(entry.key());
--- a/libraries/gateway/group_members.h
+++ b/libraries/gateway/group_members.h
@@ -22,6 +22,9 @@
   InstanceName primary;
   // The term in which `primary` is primary.
   uint64_t term = 0;
+  // The era of the store in which this was observed. The store may have lost a
+  // later record of an earlier era.
+  uint64_t era = 0;
 
   bool operator==(const GroupMembers&) const = default;
 };
--- a/libraries/gateway/metadata_store.h
+++ b/libraries/gateway/metadata_store.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "gateway/store_era.h"
 
 namespace jackdawturn::gateway {
 
@@ -25,7 +26,8 @@
 struct StoredRecord {
   std::string name;
   // Changes with every change of the record. A later change of any record in
-  // the store has a higher revision.
+  // the store has a higher revision. Combined with the era of the answer that
+  // showed it, see store_era.h, as are all revisions of this interface.
   uint64_t revision = 0;
   // JSON; empty if what is stored cannot be read.
   std::string body;
@@ -58,13 +60,18 @@
 // and callbacks run on one thread. Common errors: kUnavailable (the call had no
 // effect), kExhausted (over the store's rate limits; the call had no effect),
 // kTimeout (outcome unknown: a write may have been applied, or may be applied
-// later if its condition still holds).
+// later if its condition still holds). A late answer of an earlier era counts
+// as none (kTimeout).
 class MetadataStore {
  public:
   using OnRecord = std::function<void(Result<StoredRecord>)>;
 
   virtual ~MetadataStore() = default;
 
+  // What the answers of the store have shown of its eras. Implementations pass
+  // the era of every answer to it before the answer itself is given.
+  virtual StoreEra& era() { return m_era; }
+
   virtual void List(RecordCollection collection,
                     Duration timeout,
                     std::function<void(Result<RecordList>)> on_list) = 0;
@@ -84,13 +91,18 @@
                     OnRecord on_record) = 0;
 
   // Stores `body` if the record has the revision `expected`, or, with 0, if the
-  // record does not exist. Error kConflict: the condition does not hold.
+  // record does not exist. Error kConflict: the condition does not hold, or
+  // `expected` is of an earlier era, in which case nothing is sent: the store
+  // may have given its number out again.
   virtual void Update(RecordCollection collection,
                       const std::string& name,
                       uint64_t expected,
                       const std::string& body,
                       Duration timeout,
                       OnRecord on_record) = 0;
+
+ private:
+  StoreEra m_era;
 };
 
 // Promotes an instance to primary of its group. `token` fences older calls.
--- a/libraries/gateway/primary_change.cc
+++ b/libraries/gateway/primary_change.cc
@@ -139,6 +139,12 @@
                               m_context.timers.now());
   Log("claim",
       {{"token", std::to_string(revision)}, {"reason", m_options.reason}});
+  if (RevisionEra(revision) > m_claim_era) {
+    // The claim may have replaced another record than the one that was read.
+    m_replaces_unresolved = true;
+    Release();
+    return End(Outcome::kFailed, "the store was restored during the claim");
+  }
   RefreshInstances();
   AnnounceClaim({m_options.group, revision, ClaimRecord()});
   CommandAll(RespondingMembers(), CommandKind::kStatus,
@@ -318,7 +324,7 @@
     return End(Outcome::kFailed, result.error().message);
   }
   if (m_promote_calls < kMaxPromoteCalls)
-    return Promote();
+    return ConfirmClaim();
   if (!m_promotion_unanswered)
     return ResumeAndEnd(Outcome::kFailed, "the promotion was refused");
   End(Outcome::kFailed,
@@ -358,7 +364,8 @@
 }
 
 void PrimaryChange::ResumeAndEnd(Outcome outcome, const std::string& why) {
-  if (m_context.timers.now() >= m_claimed_at + kResumeTimeLimit) {
+  if (m_context.timers.now() >= m_claimed_at + kResumeTimeLimit ||
+      claim_outdated()) {
     Log("not_resumed", {});
     Release();
     return End(outcome, why);
--- a/libraries/gateway/primary_change.h
+++ b/libraries/gateway/primary_change.h
@@ -168,6 +168,15 @@
   PrimaryChangeRecord ClaimRecord() const;
   void ClaimWritten(Result<StoredRecord> record);
   void ReadBackClaim();
+  // Reads the claim again before the promotion, because a store with eras may
+  // have lost it.
+  void ConfirmClaim();
+  void ClaimConfirmed(const Result<StoredRecord>& record);
+  // Returns whether the store has come back from an older copy since the claim.
+  bool claim_outdated() const { return m_ports.store.era().Outdates(m_token); }
+  // Ends a change whose claim may be lost. The replicas stay paused, because
+  // another claimant may have paused them.
+  void EndUnclaimed(const std::string& why);
   void Claimed(const StoredRecord& claim);
   void LogStatuses(const std::string& step) const;
   // Returns whether the old primary serves until it is replaced.
@@ -224,6 +233,11 @@
   void AwaitSettlement();
   // Ends the claim and records what came of the change.
   void Release();
+  void WriteEnd(uint64_t expected, const PrimaryChangeRecord& ended);
+  void EndWritten(const Result<StoredRecord>& record,
+                  const PrimaryChangeRecord& ended);
+  // Writes the end of a claim that the store holds in a later era, or has lost.
+  void WriteEndAfterRestore(const PrimaryChangeRecord& ended);
   void ResumeAndEnd(Outcome outcome, const std::string& why);
   void End(Outcome outcome, const std::string& why);
   void Log(const std::string& step, GatewayLog::Fields fields) const;
@@ -247,6 +261,10 @@
   std::optional<Result<void>> m_refreshed;
   std::optional<AnnouncementRound::Outcome> m_announced;
   uint64_t m_token = 0;
+  // The era of the store in which the claim that this one replaces was read.
+  uint64_t m_claim_era = 0;
+  // The attempt that the claim replaces.
+  std::string m_replaced_attempt;
   uint64_t m_pause_term = 0;
   InstanceName m_candidate;
   unsigned m_promote_calls = 0;
--- a/libraries/gateway/primary_change_depose.cc
+++ b/libraries/gateway/primary_change_depose.cc
@@ -54,7 +54,7 @@
       (unanswered || (m_context.needs_leases() && !m_deposed)))
     return ResumeAndEnd(Outcome::kFailed, "the old primary was not deposed");
   if (m_deposed || !m_context.needs_leases())
-    return Promote();
+    return ConfirmClaim();
   AwaitLeaseEnd();
 }
 
@@ -98,7 +98,7 @@
     }
     if (!self->MembersUnchanged())
       return self->ResumeAndEnd(Outcome::kFailed, kMembersChanged);
-    self->Promote();
+    self->ConfirmClaim();
   });
 }
 
--- a/libraries/gateway/primary_change_record.cc
+++ b/libraries/gateway/primary_change_record.cc
@@ -1,8 +1,11 @@
 #include "gateway/primary_change_record.h"
 
+#include <algorithm>
+
 #include <boost/json.hpp>
 
 #include "core/json_fields.h"
+#include "gateway/store_era.h"
 
 namespace jackdawturn::gateway {
 
@@ -52,8 +55,67 @@
                                   const PrimaryChangeRecord& record,
                                   TimePoint now) {
   Known& known = m_known[group];
-  if (revision <= known.revision)
+  if (known.revision > 0 &&
+      RevisionEra(revision) != RevisionEra(known.revision))
+    return ObserveOtherEra(known, revision, record, now);
+  if (revision > known.revision)
+    TakeOver(known, revision, record, now);
+}
+
+void KnownPrimaryChanges::ObserveOtherEra(Known& known,
+                                          uint64_t revision,
+                                          const PrimaryChangeRecord& record,
+                                          TimePoint now) {
+  const bool later = revision > known.revision;
+  if (record.attempt == known.record.attempt) {
+    // The copy may be older than what is known of the attempt.
+    if (record.ended && !known.record.ended)
+      TakeOver(known, std::max(revision, known.revision), record, now);
+    known.revision = std::max(revision, known.revision);
+    return;
+  }
+  if (later) {
+    const Known earlier = known;
+    TakeOver(known, revision, record, now);
+    return KeepLostClaim(
+        known,
+        {.attempt = earlier.record.attempt,
+         .claimed_until =
+             earlier.record.ended ? now : earlier.first_seen + kClaimTime,
+         .unresolved_until = earlier.unresolved_until.value_or(now)});
+  }
+  // The claimant may not know yet that the store has lost its claim.
+  if (!record.ended)
+    return KeepLostClaim(known, {.attempt = record.attempt,
+                                 .claimed_until = now + kClaimTime,
+                                 .unresolved_until = now + kUnresolvedTime});
+  if (known.lost && known.lost->attempt == record.attempt) {
+    known.lost->claimed_until = now;
+    if (!record.unresolved)
+      known.lost.reset();
+  }
+}
+
+void KnownPrimaryChanges::KeepLostClaim(Known& known, const LostClaim& claim) {
+  if (!known.lost) {
+    known.lost = claim;
+    return;
+  }
+  // A claim that is announced again is not in force for longer.
+  if (known.lost->attempt == claim.attempt)
     return;
+  known.lost = {claim.attempt,
+                std::max(known.lost->claimed_until, claim.claimed_until),
+                std::max(known.lost->unresolved_until, claim.unresolved_until)};
+}
+
+void KnownPrimaryChanges::TakeOver(Known& known,
+                                   uint64_t revision,
+                                   const PrimaryChangeRecord& record,
+                                   TimePoint now) {
+  // Its claimant has written down what came of it.
+  if (record.ended && known.lost && known.lost->attempt == record.attempt)
+    known.lost.reset();
   const bool ends_known_claim =
       !known.record.ended && known.record.attempt == record.attempt;
   known.revision = revision;
@@ -86,7 +148,10 @@
 
 bool KnownPrimaryChanges::Claimed(const GroupName& group, TimePoint now) const {
   const Known* known = Find(group);
-  return known && !known->record.ended && now < known->first_seen + kClaimTime;
+  if (!known)
+    return false;
+  return (!known->record.ended && now < known->first_seen + kClaimTime) ||
+         (known->lost && now < known->lost->claimed_until);
 }
 
 bool KnownPrimaryChanges::Abandoned(const GroupName& group,
@@ -97,14 +162,21 @@
 bool KnownPrimaryChanges::EarlierPending(const GroupName& group,
                                          TimePoint now) const {
   const Known* known = Find(group);
-  return known && known->earlier_unresolved_until &&
-         now < *known->earlier_unresolved_until;
+  if (!known)
+    return false;
+  return (known->earlier_unresolved_until &&
+          now < *known->earlier_unresolved_until) ||
+         (known->lost && now < known->lost->unresolved_until);
 }
 
 const PrimaryChangeRecord* KnownPrimaryChanges::Pending(const GroupName& group,
                                                         TimePoint now) const {
   const Known* known = Find(group);
-  if (!known || !known->unresolved_until || now >= *known->unresolved_until)
+  if (!known)
+    return nullptr;
+  const bool lost_pending = known->lost && now < known->lost->unresolved_until;
+  if (!lost_pending &&
+      (!known->unresolved_until || now >= *known->unresolved_until))
     return nullptr;
   return &known->record;
 }
--- a/libraries/gateway/primary_change_record.h
+++ b/libraries/gateway/primary_change_record.h
@@ -53,7 +53,9 @@
   // out.
   static constexpr Duration kUnresolvedTime = std::chrono::seconds(15);
 
-  // Takes over a record that was read at `now`, unless a newer one is known.
+  // Takes over a record that was read at `now`, unless a newer one is known. A
+  // claim of an earlier era stays in force until it ends or expires, also if
+  // the store has lost it.
   void Observe(const GroupName& group,
                uint64_t revision,
                const PrimaryChangeRecord& record,
@@ -79,6 +81,15 @@
   const PrimaryChangeRecord* Last(const GroupName& group) const;
 
  private:
+  // A claim that a record of another attempt has replaced only because the
+  // store has come back from an older copy.
+  struct LostClaim {
+    std::string attempt;
+    TimePoint claimed_until;
+    // Until when a promotion may be carried out that was requested under it.
+    TimePoint unresolved_until;
+  };
+
   struct Known {
     uint64_t revision = 0;
     PrimaryChangeRecord record;
@@ -87,8 +98,18 @@
     std::optional<TimePoint> unresolved_until;
     // As unresolved_until, for promotions of earlier claims.
     std::optional<TimePoint> earlier_unresolved_until;
+    std::optional<LostClaim> lost;
   };
 
+  static void TakeOver(Known& known,
+                       uint64_t revision,
+                       const PrimaryChangeRecord& record,
+                       TimePoint now);
+  static void ObserveOtherEra(Known& known,
+                              uint64_t revision,
+                              const PrimaryChangeRecord& record,
+                              TimePoint now);
+  static void KeepLostClaim(Known& known, const LostClaim& claim);
   const Known* Find(const GroupName& group) const;
 
   std::map<GroupName, Known> m_known;
--- a/libraries/gateway/record_cache.cc
+++ b/libraries/gateway/record_cache.cc
@@ -23,7 +23,7 @@
   }
   if (m_revision == 0)
     m_complete_since = list.revision;
-  m_revision = list.revision;
+  Advance(list.revision);
   DropOldRemovals();
 }
 
@@ -33,10 +33,16 @@
     return;
   for (const RecordChange& change : changes.changes)
     Put(change, changes.revision);
-  m_revision = changes.revision;
+  Advance(changes.revision);
   DropOldRemovals();
 }
 
+void RecordCache::Advance(uint64_t revision) {
+  if (RevisionEra(revision) > RevisionEra(m_revision))
+    m_earlier_era_revision = m_revision;
+  m_revision = revision;
+}
+
 void RecordCache::Put(const RecordChange& change, uint64_t revision) {
   Entry& entry = m_entries[change.record.name];
   m_removals += (change.removed ? 1 : 0) - (entry.change.removed ? 1 : 0);
@@ -62,6 +68,10 @@
     uint64_t revision) const {
   if (m_revision == 0 || revision < m_complete_since)
     return std::nullopt;
+  const uint64_t eras = RevisionEra(m_revision) - RevisionEra(revision);
+  if (RevisionEra(revision) < RevisionEra(m_revision) &&
+      (eras > 1 || revision > m_earlier_era_revision))
+    return std::nullopt;
   RecordChanges changes;
   changes.revision = m_revision;
   for (const auto& [name, entry] : m_entries) {
--- a/libraries/gateway/record_cache.h
+++ b/libraries/gateway/record_cache.h
@@ -25,7 +25,9 @@
   uint64_t revision() const { return m_revision; }
 
   // Returns the last change of each record that changed after `revision`, or
-  // nullopt if removals since then may have been dropped.
+  // nullopt if removals since then may have been dropped, or if `revision`
+  // shows records of an earlier era that this cache has never held and that the
+  // store may have lost.
   std::optional<RecordChanges> ChangesSince(uint64_t revision) const;
 
  private:
@@ -36,11 +38,15 @@
     uint64_t received_with = 0;
   };
 
+  // Notes that a later revision has been reached.
+  void Advance(uint64_t revision);
   void Put(const RecordChange& change, uint64_t revision);
   void DropOldRemovals();
 
   std::map<std::string, Entry> m_entries;
   uint64_t m_revision = 0;
+  // The last revision before the present era.
+  uint64_t m_earlier_era_revision = 0;
   // Removals before this revision are not known.
   uint64_t m_complete_since = 0;
   size_t m_removals = 0;
--- a/libraries/gateway/shared_watches.cc
+++ b/libraries/gateway/shared_watches.cc
@@ -71,10 +71,22 @@
                                uint64_t revision,
                                Duration wait,
                                OnChanges on_changes) {
+  const auto outdated = [] {
+    return Failure(ErrorCode::kNotFound, "watch.store", "",
+                   "the store has come back from an older copy");
+  };
+  if (m_store.era().Outdates(revision))
+    return on_changes(outdated());
   m_store.Watch(
       collection, revision, wait,
-      [self = m_self, collection, wait, sent_at = m_timers.now(),
+      [self = m_self, collection, revision, wait, outdated,
+       sent_at = m_timers.now(),
        on_changes = std::move(on_changes)](Result<RecordChanges> changes) {
+        // The revisions from the copy's on were given out again, so changes
+        // after `revision` may be missing.
+        if (changes &&
+            RevisionEra(changes.value().revision) != RevisionEra(revision))
+          return on_changes(outdated());
         if (*self && changes)
           (*self)->Received(collection, changes.value(), sent_at, wait);
         on_changes(std::move(changes));
@@ -94,13 +106,13 @@
         if (!*self)
           return;
         SharedWatches& shared = **self;
-        if (changes && changes.value().age <= kMaxAge) {
+        if (shared.Usable(changes)) {
           shared.m_peers.Answered(name);
           shared.Received(collection, changes.value(), sent_at, wait);
           return on_changes(std::move(changes));
         }
         // An upstream that answers is well, also if it is out of touch with
-        // the store or does not know all changes.
+        // the store, in an earlier era or does not know all changes.
         if (!changes && changes.error().code != ErrorCode::kNotFound)
           shared.m_peers.Suspect(name, shared.m_timers.now());
         // The store answers immediately if there are changes.
@@ -109,6 +121,13 @@
       });
 }
 
+bool SharedWatches::Usable(const Result<RecordChanges>& changes) {
+  // Unlike the store, an upstream knows which records of the earlier era the
+  // present one lacks, so its changes are complete across eras.
+  return changes && changes.value().age <= kMaxAge &&
+         m_store.era().AcceptFromPeer(RevisionEra(changes.value().revision));
+}
+
 void SharedWatches::Received(RecordCollection collection,
                              const RecordChanges& changes,
                              TimePoint sent_at,
--- a/libraries/gateway/shared_watches.h
+++ b/libraries/gateway/shared_watches.h
@@ -52,6 +52,7 @@
   SharedWatches(const SharedWatches&) = delete;
   SharedWatches& operator=(const SharedWatches&) = delete;
 
+  StoreEra& era() override { return m_store.era(); }
   void List(RecordCollection collection,
             Duration timeout,
             std::function<void(Result<RecordList>)> on_list) override;
@@ -108,6 +109,8 @@
                  uint64_t revision,
                  Duration wait,
                  OnChanges on_changes);
+  // Returns whether the answer of an upstream shows the present state.
+  bool Usable(const Result<RecordChanges>& changes);
   void SetUpstream(RecordCollection collection, const VmName& upstream);
   // Takes over the answer to a watch sent at `sent_at` that waited for `wait`.
   void Received(RecordCollection collection,
--- a/libraries/gateway/store_contact.h
+++ b/libraries/gateway/store_contact.h
@@ -26,6 +26,10 @@
     m_last = time;
   }
 
+  // Discards what is known: after the store has come back from an older copy,
+  // earlier answers do not show what it holds.
+  void Reset() { m_last.reset(); }
+
   // Returns when the store has last answered, or nullopt.
   std::optional<TimePoint> last_answer() const { return m_last; }
 
--- a/libraries/gateway/store_sync.cc
+++ b/libraries/gateway/store_sync.cc
@@ -82,6 +82,26 @@
                });
 }
 
+void StoreSync::StoreRestored() {
+  // Without a list, the first one is still to come.
+  if (m_revision == 0)
+    return;
+  m_timers.After(RandomDelay(m_random, {}, kRestoredListSpread),
+                 [self = m_self] {
+                   if (*self)
+                     (*self)->RefreshIfOutdated();
+                 });
+}
+
+void StoreSync::RefreshIfOutdated() {
+  if (!m_store.era().Outdates(m_revision))
+    return;
+  Refresh([self = m_self](const Result<void>& result) {
+    if (*self && !result)
+      (*self)->StoreRestored();
+  });
+}
+
 void StoreSync::EndRefresh(const Result<void>& result) {
   m_refreshing = false;
   for (const OnRefreshed& on_refreshed : std::exchange(m_on_refreshed, {}))
@@ -119,6 +139,7 @@
 
 void StoreSync::Watch() {
   m_called_at = m_timers.now();
+  m_watched_from = m_revision;
   m_store.Watch(m_collection, m_revision, m_timing.wait,
                 [self = m_self](Result<RecordChanges> changes) {
                   if (*self)
@@ -127,9 +148,16 @@
 }
 
 void StoreSync::Watched(Result<RecordChanges> changes) {
+  const bool history_lost =
+      !changes && changes.error().code == ErrorCode::kNotFound;
+  if (history_lost && m_store.era().Outdates(m_watched_from)) {
+    // A list that ended during the watch is of the present era.
+    if (!m_store.era().Outdates(m_revision))
+      return Watch();
+    return RetryAfter(RandomDelay(m_random, {}, kRestoredListSpread), true);
+  }
   if (!changes)
-    return Failed(changes.error(),
-                  changes.error().code == ErrorCode::kNotFound);
+    return Failed(changes.error(), history_lost);
   NoteStoreReachable(changes.value().age);
   Apply(changes.value());
   const Duration coalesce_delay =
@@ -191,7 +219,10 @@
   const Duration wait = m_retries.Request(m_timers.now());
   if (wait > Duration(0))
     return RetryAfter(wait, needs_list);
-  if (needs_list || m_revision == 0)
+  if (m_revision == 0 || m_store.era().Outdates(m_revision))
+    return List();
+  // A refresh has listed the present era already.
+  if (needs_list && !m_store.era().Outdates(m_watched_from))
     return List();
   Watch();
 }
--- a/libraries/gateway/store_sync.h
+++ b/libraries/gateway/store_sync.h
@@ -25,7 +25,8 @@
 };
 
 // Follows one collection of records: lists it, then watches it, and lists it
-// again when the store no longer has the history since the last watch. Thread
+// again when the store no longer has the history since the last watch, or has
+// come back from an older copy. Thread
 // safety: not thread-safe.
 class StoreSync {
  public:
@@ -61,9 +62,17 @@
   // received them. Errors: as MetadataStore::List. Precondition: started.
   void Refresh(OnRefreshed on_refreshed);
 
+  // A new era of the store has begun: the collection is listed again, beside
+  // the watch in progress, at a random time within kRestoredListSpread.
+  void StoreRestored();
+
   bool store_reachable() const { return m_store_reachable; }
 
  private:
+  // Spreads the lists of all proxies after a new era of the store has begun.
+  static constexpr Duration kRestoredListSpread =
+      std::chrono::milliseconds(500);
+
   void List();
   void Listed(Result<RecordList> list);
   void Watch();
@@ -72,6 +81,7 @@
   void Apply(const RecordChanges& changes);
   void Refreshed(Result<RecordChanges> changes);
   void RefreshByList();
+  void RefreshIfOutdated();
   void EndRefresh(const Result<void>& result);
   void Failed(const Error& error, bool needs_list);
   // Retries the call, or waits until `m_retries` allows it.
@@ -91,6 +101,8 @@
   // Null once this object is destroyed; callbacks may run after that.
   std::shared_ptr<StoreSync*> m_self;
   uint64_t m_revision = 0;
+  // The revision from which the last watch began.
+  uint64_t m_watched_from = 0;
   TimePoint m_called_at;
   // Those that wait for the refresh in progress, or for the first list.
   std::vector<OnRefreshed> m_on_refreshed;
--- a/libraries/http/http_client.cc
+++ b/libraries/http/http_client.cc
@@ -113,6 +113,8 @@
           response.content_type =
               std::string(message[http::field::content_type]);
           response.body = std::move(message.body());
+          for (const auto& field : message)
+            response.headers.emplace_back(field.name_string(), field.value());
           if (!message.keep_alive())
             self->Close();
           self->Finish(std::move(response));
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -159,6 +159,8 @@
     m_response.version(11);
     m_response.result(response.status);
     m_response.set(http::field::content_type, response.content_type);
+    for (const auto& [name, value] : response.headers)
+      m_response.set(name, value);
     m_response.keep_alive(keep_alive);
     m_response.body() = response.body;
     m_response.prepare_payload();
--- a/libraries/http/http_types.cc
+++ b/libraries/http/http_types.cc
@@ -1,11 +1,24 @@
 #include "http/http_types.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <boost/asio/ip/address.hpp>
+#include <boost/beast/core/string.hpp>
 
 namespace jackdawturn {
 
+std::optional<std::string_view> HttpResponse::Header(
+    std::string_view name) const {
+  const auto found =
+      std::find_if(headers.begin(), headers.end(), [name](const auto& header) {
+        return boost::beast::iequals(header.first, name);
+      });
+  if (found == headers.end())
+    return std::nullopt;
+  return found->second;
+}
+
 Result<Endpoint> ParseEndpoint(const std::string& text) {
   const auto fail = [&text] {
     return Failure(ErrorCode::kInvalidArgument, "endpoint.parse", "",
--- a/libraries/http/http_types.h
+++ b/libraries/http/http_types.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -26,7 +28,7 @@
 // Converts to the type of Boost.Asio. Errors: kInvalidArgument. Thread-safe.
 Result<boost::asio::ip::tcp::endpoint> ToTcpEndpoint(const Endpoint& endpoint);
 
-// Names and values of further headers of a request.
+// Names and values of further headers of a request or an answer.
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
 struct HttpRequest {
@@ -46,6 +48,11 @@
   unsigned status = 200;
   std::string body;
   std::string content_type = "application/json";
+  // Sent beside those that the server sets itself; when received, all headers.
+  HttpHeaders headers = {};
+
+  // Returns the value of a header, ignoring the case of its name, or nullopt.
+  std::optional<std::string_view> Header(std::string_view name) const;
 };
 
 // HTTP status codes that the project uses (RFC 9110, section 15).
--- a/libraries/soak/http_standin.cc
+++ b/libraries/soak/http_standin.cc
@@ -18,6 +18,7 @@
 struct HttpStandin::State {
   Handler handler;
   std::set<std::shared_ptr<Session>> sessions;
+  std::map<std::string, std::string> headers;
 };
 
 namespace {
@@ -87,6 +88,10 @@
     m_response.version(11);
     m_response.result(status);
     m_response.set(http::field::content_type, "application/json");
+    if (const auto state = m_state.lock()) {
+      for (const auto& [name, value] : state->headers)
+        m_response.set(name, value);
+    }
     m_response.keep_alive(true);
     m_response.body() = body;
     m_response.prepare_payload();
@@ -150,6 +155,10 @@
   return {"127.0.0.1", m_acceptor.local_endpoint().port()};
 }
 
+void HttpStandin::SetHeader(const std::string& name, const std::string& value) {
+  m_state->headers[name] = value;
+}
+
 void HttpStandin::ResetConnections() {
   const auto sessions = m_state->sessions;
   for (const auto& session : sessions)
--- a/libraries/soak/http_standin.h
+++ b/libraries/soak/http_standin.h
@@ -34,6 +34,8 @@
   ~HttpStandin();
 
   Endpoint endpoint() const;
+  // All later answers carry the header.
+  void SetHeader(const std::string& name, const std::string& value);
   void ResetConnections();
   // What is open now is never answered again; new connections work.
   void SilenceConnections();
--- a/libraries/soak/platform_standin.cc
+++ b/libraries/soak/platform_standin.cc
@@ -1,5 +1,6 @@
 #include "soak/platform_standin.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -47,6 +48,8 @@
         }));
     platform->m_servers.push_back(std::move(server));
   }
+  platform->ShowEra();
+  platform->MakeCopies();
   return platform;
 }
 
@@ -108,6 +111,34 @@
     server->SilenceConnections();
 }
 
+void PlatformStandin::MakeCopies() {
+  constexpr Duration kCopyInterval = 200ms;
+  constexpr size_t kCopies = 40;
+  m_copies.push_back({m_timers.now(), m_objects, m_revision});
+  if (m_copies.size() > kCopies)
+    m_copies.pop_front();
+  m_timers.After(kCopyInterval, [this] { MakeCopies(); });
+}
+
+void PlatformStandin::ShowEra() {
+  for (const auto& server : m_servers)
+    server->SetHeader("Store-Era", std::to_string(m_era));
+}
+
+void PlatformStandin::Restore(Duration age) {
+  const TimePoint made_at = m_timers.now() - age;
+  while (m_copies.size() > 1 && m_copies.back().made_at > made_at)
+    m_copies.pop_back();
+  m_objects = m_copies.back().objects;
+  m_revision = m_copies.back().revision;
+  std::erase_if(m_events, [this](const Event& event) {
+    return event.revision > m_revision;
+  });
+  m_forgotten = std::min(m_forgotten, m_revision);
+  ++m_era;
+  ShowEra();
+}
+
 void PlatformStandin::DropHistory() {
   m_forgotten = m_revision;
   m_events.clear();
@@ -117,7 +148,7 @@
   // Nothing that is down tells of a change.
   if (faults.down)
     return false;
-  if (watch.revision < m_forgotten) {
+  if (watch.revision < m_forgotten || watch.revision > m_revision) {
     watch.respond(kHttpGone, "{}");
     return true;
   }
--- a/libraries/soak/platform_standin.h
+++ b/libraries/soak/platform_standin.h
@@ -55,6 +55,9 @@
   bool Has(const std::string& kind, const std::string& name) const;
   // Watches from before have to list again.
   void DropHistory();
+  // The store is as it was `age` ago, or when the first copy was made, and its
+  // answers show the next era.
+  void Restore(Duration age);
 
   Faults faults;
   void ResetConnections();
@@ -69,6 +72,12 @@
     boost::json::value spec;
     boost::json::value status;
   };
+  using Objects = std::map<std::string, std::map<std::string, Object>>;
+  struct Copy {
+    TimePoint made_at;
+    Objects objects;
+    uint64_t revision = 0;
+  };
   struct Event {
     uint64_t revision = 0;
     std::string kind;
@@ -107,12 +116,17 @@
                  const HttpStandin::Respond& respond);
   // Returns the status of a promotion that is to be carried out now.
   unsigned StartPromotion(GroupModel& group, size_t instance, uint64_t token);
+  void MakeCopies();
+  void ShowEra();
 
   gateway::Timers& m_timers;
   const std::vector<GroupModel*> m_groups;
   std::mt19937_64 m_random;
   const std::function<void()> m_on_promoted;
-  std::map<std::string, std::map<std::string, Object>> m_objects;
+  Objects m_objects;
+  // Oldest first.
+  std::deque<Copy> m_copies;
+  uint64_t m_era = 0;
   std::deque<Event> m_events;
   // What happened up to this revision is not known any more.
   uint64_t m_forgotten = 0;
--- a/libraries/soak/schedule.cc
+++ b/libraries/soak/schedule.cc
@@ -49,6 +49,8 @@
      4'000ms},
     {FaultKind::kPromotionsLate, "promotions_late", Target::kStore, 1'000ms,
      5'000ms, 2},
+    {FaultKind::kStoreRestored, "store_restored", Target::kStore, 100ms,
+     1'500ms, 2},
 }};
 
 const KindEntry& EntryOf(FaultKind kind) {
--- a/libraries/soak/schedule.h
+++ b/libraries/soak/schedule.h
@@ -25,8 +25,9 @@
   kStoreDown,
   kStoreAnswersLost,
   kPromotionsLate,  // Not answered, and carried out seconds later.
+  kStoreRestored,   // Down, and comes back as it was some seconds ago.
 };
-inline constexpr size_t kFaultKinds = 14;
+inline constexpr size_t kFaultKinds = 15;
 
 // Returns the name used in reports, for example "primary_crash". Thread-safe.
 std::string_view ToString(FaultKind kind);
--- a/libraries/soak/soak_run.cc
+++ b/libraries/soak/soak_run.cc
@@ -49,6 +49,7 @@
 
   Result<void> StartPlatform();
   Result<void> StartGateways();
+  void PutConfiguration();
   void PublishInstances();
   void Tick();
   void EnterPhase(Phase phase);
@@ -58,6 +59,7 @@
   void Begin(const Fault& fault);
   void BeginGroupFault(const Fault& fault);
   void BeginStoreFault(const Fault& fault);
+  void EndStoreFault(const Fault& fault);
   void ResetOrSilence(const Fault& fault);
   void CutPrimary(const Fault& fault, size_t instance);
   void TakeInstance(const Fault& fault, size_t instance);
@@ -118,12 +120,16 @@
                                 Log("promoted");
                                 PublishInstances();
                               }));
-  m_platform->Put("config", "main",
-                  OperatorConfiguration(m_databases, kConnectionLimit));
+  PutConfiguration();
   PublishInstances();
   return Success();
 }
 
+void SoakRun::PutConfiguration() {
+  m_platform->Put("config", "main",
+                  OperatorConfiguration(m_databases, kConnectionLimit));
+}
+
 void SoakRun::PublishInstances() {
   const TimePoint now = m_timers.now();
   for (Group& group : m_groups) {
@@ -346,7 +352,8 @@
 
 void SoakRun::BeginStoreFault(const Fault& fault) {
   PlatformStandin::Faults& faults = m_platform->faults;
-  if (fault.kind == FaultKind::kStoreDown) {
+  if (fault.kind == FaultKind::kStoreDown ||
+      fault.kind == FaultKind::kStoreRestored) {
     faults.down = true;
     faults.silent = m_faults["store_down"] % 2 == 0;
   } else if (fault.kind == FaultKind::kStoreAnswersLost) {
@@ -354,16 +361,28 @@
   } else {
     faults.promotions_late = true;
   }
-  m_timers.After(fault.length, [this, kind = fault.kind] {
-    if (kind == FaultKind::kStoreAnswersLost) {
+  m_timers.After(fault.length, [this, fault] { EndStoreFault(fault); });
+}
+
+void SoakRun::EndStoreFault(const Fault& fault) {
+  constexpr Duration kMinCopyAge = 500ms;
+  constexpr Duration kCopyAges = 4'000ms;
+  switch (fault.kind) {
+    case FaultKind::kStoreAnswersLost:
       m_platform->faults.lost_one_of = 0;
-    } else if (kind == FaultKind::kPromotionsLate) {
+      return;
+    case FaultKind::kPromotionsLate:
       m_platform->faults.promotions_late = false;
-    } else {
+      return;
+    case FaultKind::kStoreRestored:
+      m_platform->faults.down = false;
+      m_platform->Restore(kMinCopyAge + fault.begin % kCopyAges);
+      // The instances report again by themselves.
+      return PutConfiguration();
+    default:
       m_platform->faults.down = false;
       m_platform->DropHistory();
-    }
-  });
+  }
 }
 
 SoakReport SoakRun::Report() const {
--- a/tests/gateway/fake_group.h
+++ b/tests/gateway/fake_group.h
@@ -286,10 +286,11 @@
             Duration,
             OnRecord on_record) override {
     const auto found = m_records.find({collection, name});
-    Answer(std::move(on_record),
-           found == m_records.end() ? Result<StoredRecord>(Error{
-                                          ErrorCode::kNotFound, "fake", "", ""})
-                                    : Result<StoredRecord>(found->second));
+    Answer(
+        std::move(on_record),
+        found == m_records.end()
+            ? Result<StoredRecord>(Error{ErrorCode::kNotFound, "fake", "", ""})
+            : Result<StoredRecord>(Shown(found->second)));
   }
 
   void Update(RecordCollection collection,
@@ -303,7 +304,8 @@
     const auto found = m_records.find({collection, name});
     const uint64_t current_revision =
         found == m_records.end() ? 0 : found->second.revision;
-    if (current_revision != expected)
+    if (era().Outdates(expected) ||
+        current_revision != RevisionNumber(expected))
       return Answer(std::move(on_record),
                     Error{ErrorCode::kConflict, "fake", "", ""});
     StoredRecord& record = m_records[{collection, name}];
@@ -313,7 +315,17 @@
       return Answer(std::move(on_record),
                     Error{ErrorCode::kTimeout, "fake", "", ""});
     }
-    Answer(std::move(on_record), record);
+    Answer(std::move(on_record), Shown(record));
+  }
+
+  // Stores a record, or removes it, as after the return from an older copy.
+  void Put(RecordCollection collection,
+           const std::string& name,
+           const std::string& body) {
+    m_records[{collection, name}] = {name, ++m_revision, body};
+  }
+  void Remove(RecordCollection collection, const std::string& name) {
+    m_records.erase({collection, name});
   }
 
   // Returns the record, or nothing.
@@ -330,12 +342,23 @@
   bool lose_next_answer = false;
   // Runs before an update takes effect; null: nothing runs.
   std::function<void()> before_update;
+  // The era that answers show; nullopt: none.
+  std::optional<uint64_t> shown_era;
 
  private:
+  StoredRecord Shown(StoredRecord record) const {
+    record.revision = CombineRevision(shown_era.value_or(0), record.revision);
+    return record;
+  }
+
   void Answer(OnRecord on_record, Result<StoredRecord> result) {
-    m_timers.After(FakeGroup::kAnswerTime,
-                   [on_record = std::move(on_record),
-                    result = std::move(result)] { on_record(result); });
+    m_timers.After(FakeGroup::kAnswerTime, [this, shown = shown_era,
+                                            on_record = std::move(on_record),
+                                            result = std::move(result)] {
+      if (!era().Accept(shown))
+        return on_record(Error{ErrorCode::kTimeout, "fake", "", "late"});
+      on_record(result);
+    });
   }
 
   VirtualTimers& m_timers;
--- a/tests/gateway/invariants_fenced_storms.cc
+++ b/tests/gateway/invariants_fenced_storms.cc
@@ -13,7 +13,7 @@
   constexpr uint64_t kRuns = 400;
   return jackdawturn::gateway::RunFaultTable(
       {.first_fault = static_cast<uint64_t>(WorldFault::kPromotionsStayLate),
-       .faults = static_cast<uint64_t>(WorldFault::kCount),
+       .faults = static_cast<uint64_t>(WorldFault::kStoreRestored),
        .max_faults = 2,
        .time_after = std::chrono::seconds(13),
        .fenced = true},
--- a/tests/gateway/shared_watches_test.cc
+++ b/tests/gateway/shared_watches_test.cc
@@ -24,7 +24,12 @@
             Duration,
             std::function<void(Result<RecordList>)> on_list) override {
     ++calls;
-    on_list(RecordList{m_records, m_revision});
+    ++lists;
+    era().Accept(shown_era);
+    RecordList list{m_records, Shown(m_revision)};
+    for (StoredRecord& record : list.records)
+      record.revision = Shown(record.revision);
+    on_list(std::move(list));
   }
 
   void Watch(RecordCollection,
@@ -32,29 +37,45 @@
              Duration wait,
              std::function<void(Result<RecordChanges>)> on_changes) override {
     ++calls;
-    Poll(revision, m_timers.now() + wait, std::move(on_changes));
+    Poll(RevisionNumber(revision), m_timers.now() + wait,
+         std::move(on_changes));
   }
 
   void Put(const std::string& name) {
     m_records.push_back({name, ++m_revision, "{}"});
   }
 
+  // The store comes back without its last records, and the next era begins.
+  void Restore(size_t lost_records) {
+    m_records.resize(m_records.size() - lost_records);
+    m_revision -= lost_records;
+    shown_era = shown_era.value_or(0) + 1;
+  }
+
   size_t calls = 0;
+  size_t lists = 0;
   bool silent = false;
 
  private:
+  uint64_t Shown(uint64_t number) const {
+    return CombineRevision(shown_era.value_or(0), number);
+  }
+
   void Poll(uint64_t revision,
             TimePoint end,
             const std::function<void(Result<RecordChanges>)>& on_changes) {
     RecordChanges changes;
-    changes.revision = m_revision;
+    changes.revision = Shown(m_revision);
     for (const StoredRecord& record : m_records) {
       if (record.revision > revision)
-        changes.changes.push_back({record, false});
+        changes.changes.push_back(
+            {{record.name, Shown(record.revision), record.body}, false});
     }
     const bool due = !changes.changes.empty() || m_timers.now() >= end;
-    if (due && !silent)
+    if (due && !silent) {
+      era().Accept(shown_era);
       return on_changes(changes);
+    }
     constexpr Duration kSlack = 1'200ms;
     if (silent && m_timers.now() >= end + kSlack)
       return on_changes(Error{ErrorCode::kTimeout, "fake", "", ""});
@@ -258,6 +279,53 @@
   }
 }
 
+// When the store comes back from an older copy, its number of calls must not
+// grow with the proxies either, and no proxy may miss what is written then,
+// although it gets the revision of a record that was lost.
+Test(gateway_shared_watches, upstream_carries_the_era) {
+  std::map<size_t, size_t> lists;
+  for (const size_t count : {8, 64}) {
+    ZoneRig rig(count);
+    for (const auto& [name, proxy] : rig.proxies)
+      proxy->store.shown_era = 0;
+    for (const char* name : {"x", "y", "z"})
+      rig.Put(name);
+    rig.timers.Advance(2s);
+    cr_assert(rig.AllHaveSeen(13));
+    for (const auto& [name, proxy] : rig.proxies) {
+      lists[count] -= proxy->store.lists;
+      proxy->store.Restore(2);
+    }
+    rig.Put("new");
+    rig.timers.Advance(2 * SharedWatches::kMaxAge);
+    cr_expect(rig.AllHaveSeen(CombineRevision(1, 12)), "%zu proxies", count);
+    for (const auto& [name, proxy] : rig.proxies)
+      lists[count] += proxy->store.lists;
+  }
+  cr_expect_eq(lists[8], 1U);
+  cr_expect_eq(lists[64], 1U);
+}
+
+// An upstream that is still in the earlier era must not be followed by a proxy
+// that has seen the present one.
+Test(gateway_shared_watches, upstream_of_an_earlier_era_is_not_followed) {
+  ZoneRig rig(8);
+  for (const auto& [name, proxy] : rig.proxies)
+    proxy->store.shown_era = 0;
+  rig.Put("x");
+  rig.timers.Advance(2s);
+  ZoneRig::Proxy& upstream = rig.Upstream();
+  for (const auto& [name, proxy] : rig.proxies) {
+    if (proxy.get() == &upstream)
+      continue;
+    proxy->store.Restore(1);
+    proxy->store.Put("new");
+    proxy->store.era().Accept(1);
+  }
+  rig.timers.Advance(3s);
+  cr_expect(rig.AllHaveSeen(CombineRevision(1, 11), &upstream));
+}
+
 // The cache must deliver each change once it is asked for with an older
 // revision, and admit when it cannot know.
 struct CacheCase {
--- a/tests/support/replicated_faults.cc
+++ b/tests/support/replicated_faults.cc
@@ -40,7 +40,13 @@
                                    "replica_restarts_during_change",
                                    "promotions_stay_late",
                                    "replica_restarts_while_answers_lost",
-                                   "instance_starts_while_store_down"};
+                                   "instance_starts_while_store_down",
+                                   "store_restored",
+                                   "store_restored_during_change",
+                                   "claimant_cut_off_while_store_restored",
+                                   "proxy_killed_while_store_restored",
+                                   "members_lost_by_restore",
+                                   "claim_lost_unheard"};
 static_assert(std::size(kFaultNames) ==
               static_cast<size_t>(WorldFault::kCount));
 
@@ -79,6 +85,7 @@
   line << "seed=" << seed << " stale=" << found.stale_reads
        << " lost=" << found.lost_commits
        << " overtaken=" << found.overtaken_promotions
+       << " refused=" << found.refused_claimants
        << " faults=" << run.description() << "\n";
   lines += line.str();
   for (size_t index = 0; index < broken.size(); ++index)
@@ -139,9 +146,15 @@
 
 FaultRun::FaultRun(const FaultTable& table, uint64_t seed, WorldMutant mutant)
     : m_random(seed ^ 0x9e3779b97f4a7c15),
-      m_world({.seed = seed, .mutant = mutant, .fenced = table.fenced}) {
+      m_world({.seed = seed,
+               .mutant = mutant,
+               .fenced = table.fenced,
+               .eras = table.eras}) {
   m_world.Run(Between(300, 700));
-  const WorldFault first = Draw(table);
+  const WorldFault first =
+      table.first_of.empty()
+          ? Draw(table)
+          : table.first_of[m_random() % table.first_of.size()];
   const WorldFault second = Draw(table);
   Apply(first);
   m_world.Run(Between(0, 1'500));
@@ -290,11 +303,106 @@
     case WorldFault::kInstanceStartsWhileStoreDown:
       ReplaceWhileStoreDown(primary, replica);
       break;
+    case WorldFault::kStoreRestored:
+      RestoreStore(Between(100, 5'000));
+      break;
+    case WorldFault::kStoreRestoredDuringChange:
+      RestoreDuringChange(primary, proxy, false);
+      break;
+    case WorldFault::kClaimantCutOffWhileStoreRestored:
+      RestoreDuringChange(primary, proxy, true);
+      break;
+    case WorldFault::kProxyKilledWhileStoreRestored:
+      m_world.Crash(primary);
+      AwaitClaimant();
+      m_world.Kill(proxy);
+      RestoreStore(Between(100, 3'000));
+      m_world.Run(Between(0, 3'000));
+      m_world.Restart(primary);
+      break;
+    case WorldFault::kMembersLostByRestore:
+      LoseMembersByRestore(primary, replica);
+      break;
+    case WorldFault::kClaimLostUnheard:
+      LoseClaimUnheard(primary);
+      break;
     case WorldFault::kCount:
       break;
   }
 }
 
+void FaultRun::RestoreStore(Duration age) {
+  m_world.StoreDown(true);
+  m_world.Run(Between(20, 1'500));
+  m_world.RestoreStore(age);
+  m_world.StoreDown(false);
+}
+
+// The claim, or its end, is lost.
+void FaultRun::RestoreDuringChange(size_t primary, size_t proxy, bool cut_off) {
+  for (size_t index = 0; index < kProxies; ++index) {
+    if (index != proxy)
+      m_world.Cut(Name("i", primary), Name("p", index));
+  }
+  const auto claimant = AwaitClaimant();
+  if (claimant && cut_off) {
+    m_world.Cut(Name("p", *claimant), "store");
+    if (m_random() % 2 == 0)
+      m_world.Suspend(*claimant, Between(200, 2'500));
+  }
+  RestoreStore(Between(500, 3'000));
+}
+
+// The store goes away as soon as it has a claim, which other proxies may not
+// hear of, and loses it. Promotions may be carried out seconds later.
+void FaultRun::LoseClaimUnheard(size_t primary) {
+  for (size_t index = 0; index < kProxies; ++index)
+    m_world.Cut(Name("p", index), Name("p", (index + 1) % kProxies));
+  if (m_random() % 2 == 0)
+    m_world.DelayPromotions(0.7);
+  const bool cut_off = m_random() % 2 == 0;
+  if (!cut_off)
+    m_world.Crash(primary);
+  else
+    m_world.Cut(Name("i", primary), Name("p", m_random() % kProxies));
+  for (int step = 0; step < 4'000 && !m_world.Claimant(); ++step)
+    m_world.Run(1ms);
+  const auto claimant = m_world.Claimant();
+  m_world.StoreDown(true);
+  m_world.Run(Between(20, 1'200));
+  if (!cut_off)
+    m_world.Restart(primary);
+  if (claimant && m_random() % 3 == 0)
+    m_world.Cut(Name("p", *claimant), "store");
+  m_world.Run(Between(0, 500));
+  m_world.RestoreStore(Between(1'300, 3'000));
+  m_world.StoreDown(false);
+  m_world.Run(Between(0, 8'000));
+}
+
+// Commits are acknowledged on account of an instance that joined after the copy
+// was made and has left since, and no proxy that saw it runs any more.
+void FaultRun::LoseMembersByRestore(size_t primary, size_t replica) {
+  constexpr Duration kRecordTime = 5s;
+  const size_t other = 3 - primary - replica;
+  m_world.Crash(replica);
+  m_world.Run(Between(100, 400));
+  m_world.Unlist(replica);
+  m_world.Run(ServerDirectory::kUnlistedGracePeriod + kRecordTime);
+  m_world.StartAnew(replica);
+  m_world.Run(kRecordTime);
+  m_world.Cut(Name("i", primary), Name("i", other));
+  m_world.Run(Between(100, 1'000));
+  m_world.Crash(replica);
+  m_world.Unlist(replica);
+  m_world.Crash(primary);
+  for (size_t index = 0; index < kProxies; ++index)
+    m_world.Kill(index);
+  RestoreStore(kRecordTime + 2s);
+  m_world.Run(Between(3'000, 5'000));
+  m_world.Restart(primary);
+}
+
 // The commits of an outage are acknowledged on account of an instance that no
 // proxy knows, and the primary crashes before that instance has registered.
 void FaultRun::ReplaceWhileStoreDown(size_t primary, size_t replica) {
--- a/tests/support/replicated_faults.h
+++ b/tests/support/replicated_faults.h
@@ -35,6 +35,14 @@
   kPromotionsStayLate,
   kReplicaRestartsWhileAnswersLost,
   kInstanceStartsWhileStoreDown,
+  // Only where FaultTable::first_of names them: the store comes back from an
+  // older copy.
+  kStoreRestored,
+  kStoreRestoredDuringChange,
+  kClaimantCutOffWhileStoreRestored,
+  kProxyKilledWhileStoreRestored,
+  kMembersLostByRestore,
+  kClaimLostUnheard,
   kCount,
 };
 
@@ -43,12 +51,17 @@
   // Those of WorldFault from `first_fault` on and before `faults` are drawn
   // from.
   uint64_t first_fault = 0;
+  // If not empty, the first fault of each run is one of these, and the others
+  // are those above.
+  std::vector<WorldFault> first_of;
   uint64_t faults = static_cast<uint64_t>(WorldFault::kPromotionsStayLate);
   // The greatest number of faults in one run, at least 2.
   uint64_t max_faults = 2;
   // How long the run goes on when all faults have ended.
   Duration time_after = std::chrono::seconds(2);
   bool fenced = false;
+  // The answers of the store show its era.
+  bool eras = false;
 };
 
 // One run of a ReplicatedWorld with faults at seeded times.
@@ -67,6 +80,11 @@
   void Apply(WorldFault fault);
   void Flap(size_t instance);
   void ReplaceWhileStoreDown(size_t primary, size_t replica);
+  // The store is away for a moment and comes back as it was `age` ago.
+  void RestoreStore(Duration age);
+  void RestoreDuringChange(size_t primary, size_t proxy, bool cut_off);
+  void LoseClaimUnheard(size_t primary);
+  void LoseMembersByRestore(size_t primary, size_t replica);
   // Waits until a proxy claims a change of the primary, for a limited time.
   std::optional<size_t> AwaitClaimant();
 
--- a/tests/support/replicated_world.cc
+++ b/tests/support/replicated_world.cc
@@ -36,6 +36,8 @@
                                uint64_t token,
                                Duration timeout,
                                auto on_result) {
+                 if (world.m_options.mutant == WorldMutant::kPlainTokens)
+                   token = RevisionNumber(token);
                  world.RequestPromotion(index, id, token, timeout,
                                         std::move(on_result));
                },
@@ -136,10 +138,10 @@
 void ReplicatedWorld::PutRecord(RecordCollection collection,
                                 const std::string& name,
                                 const std::string& body) {
-  m_removed.erase({collection, name});
-  StoredRecord& record = m_records[{collection, name}];
+  m_store.removed.erase({collection, name});
+  StoredRecord& record = m_store.records[{collection, name}];
   if (record.body != body || record.revision == 0)
-    record = {name, ++m_revision, body};
+    record = {name, ++m_store.revision, body};
 }
 
 void ReplicatedWorld::PublishRoles() {
@@ -171,8 +173,8 @@
 
 std::optional<size_t> ReplicatedWorld::Claimant() const {
   const auto claim =
-      m_records.find({RecordCollection::kPrimaryChanges, kGroup.value()});
-  if (claim == m_records.end() ||
+      m_store.records.find({RecordCollection::kPrimaryChanges, kGroup.value()});
+  if (claim == m_store.records.end() ||
       claim->second.body.find("\"ended\":true") != std::string::npos)
     return std::nullopt;
   for (size_t index = 0; index < kProxies; ++index) {
@@ -225,6 +227,7 @@
   for (const auto& instance : m_instances)
     SettleCommits(*instance);
   PublishRoles();
+  CopyStore();
   // A commit that every log has can be neither missed nor lost.
   std::erase_if(m_acknowledged, [this](const auto& entry) {
     return std::all_of(
@@ -300,8 +303,8 @@
 
 void ReplicatedWorld::Unlist(size_t instance) {
   const std::pair key(RecordCollection::kServers, m_instances[instance]->id());
-  m_records.erase(key);
-  m_removed[key] = ++m_revision;
+  m_store.records.erase(key);
+  m_store.removed[key] = ++m_store.revision;
 }
 
 void ReplicatedWorld::StartAnew(size_t instance) {
@@ -325,6 +328,32 @@
   m_store_down = down;
 }
 
+void ReplicatedWorld::CopyStore() {
+  constexpr Duration kCopyInterval = std::chrono::milliseconds(50);
+  constexpr size_t kCopies = 200;
+  if (m_store_copies.empty() ||
+      m_store_copies.back().first + kCopyInterval <= m_timers.now())
+    m_store_copies.emplace_back(m_timers.now(), m_store);
+  if (m_store_copies.size() > kCopies)
+    m_store_copies.pop_front();
+}
+
+void ReplicatedWorld::RestoreStore(Duration age) {
+  const TimePoint taken = m_timers.now() - age;
+  while (m_store_copies.size() > 1 && m_store_copies.back().first > taken)
+    m_store_copies.pop_back();
+  m_lost_claims.clear();
+  for (const auto& [key, record] : m_store.records) {
+    if (key.first == RecordCollection::kPrimaryChanges)
+      m_lost_claims.push_back(record);
+  }
+  m_store = m_store_copies.back().second;
+  ++m_era;
+  for (const auto& instance : m_instances)
+    instance->registration_delay =
+        std::chrono::milliseconds(50 + m_random() % 1'450);
+}
+
 void ReplicatedWorld::Announce(
     size_t from,
     const VmName& to,
@@ -405,6 +434,8 @@
                    [this, id, token] { StartPromotion(id, token); });
   } else {
     accepted = StartPromotion(id, token);
+    if (!accepted && Claimant() == proxy)
+      ++m_violations.refused_claimants;
   }
   const bool lost = late || Chance(m_lost_share);
   m_timers.After(
--- a/tests/support/replicated_world.h
+++ b/tests/support/replicated_world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -38,6 +39,10 @@
   kNotDeposed,     // The old primary leads on although promotions are fenced.
   kOutagesHidden,  // A proxy's watch ends as if the store had answered.
   kStatusAhead,    // A replica's status says that it has all commits.
+  kErasHidden,     // Proxies do not learn that a new era has begun.
+  kPlainTokens,    // A token is the store's number without the era.
+  kEarlierMembersCount,  // Records of members seem to be of the present era.
+  kLostClaimsEnded,  // A list says that claims of the earlier era have ended.
 };
 
 struct WorldOptions {
@@ -46,6 +51,8 @@
   // A promotion with a token below one that was used before is refused, and one
   // that takes effect deposes the old primary.
   bool fenced = false;
+  // The answers of the store show its era.
+  bool eras = false;
 };
 
 // What was observed to be wrong.
@@ -56,9 +63,13 @@
   uint64_t lost_commits = 0;
   // A promotion was requested with a lower token than an earlier one.
   uint64_t overtaken_promotions = 0;
+  // A promotion under the claim that the store holds was refused because of its
+  // token.
+  uint64_t refused_claimants = 0;
 
   uint64_t total() const {
-    return stale_reads + lost_commits + overtaken_promotions;
+    return stale_reads + lost_commits + overtaken_promotions +
+           refused_claimants;
   }
 };
 
@@ -96,6 +107,9 @@
   // Answers of the store and of promotions are lost with this probability.
   void LoseAnswers(double share) { m_lost_share = share; }
   void StoreDown(bool down);
+  // The store is as it was `age` ago, and a later era begins. What instances
+  // wrote since then they write again some time after the store's return.
+  void RestoreStore(Duration age);
   // With this probability, a promotion is not answered and is carried out
   // seconds later.
   void DelayPromotions(double share) { m_late_share = share; }
@@ -115,6 +129,15 @@
 
   struct Instance;
   struct Proxy;
+  using RecordKey = std::pair<RecordCollection, std::string>;
+
+  struct StoreContents {
+    std::map<RecordKey, StoredRecord> records;
+    // The revision at which each record was removed.
+    std::map<RecordKey, uint64_t> removed;
+    uint64_t revision = 0;
+  };
+
   class Session;
   class ProxyTimers;
   class ProxyStore;
@@ -139,6 +162,7 @@
                 const ChangeAnnouncement& announcement,
                 Duration timeout,
                 std::function<void(Result<AnnouncementAnswer>)> on_answer);
+  void CopyStore();
   // Begins to carry out a promotion, unless its token is too old.
   bool StartPromotion(const InstanceName& id, uint64_t token);
   void Promote(const InstanceName& id);
@@ -171,10 +195,12 @@
   std::vector<std::unique_ptr<Proxy>> m_proxies;
   // Kept, because callbacks of the world refer to them.
   std::vector<std::unique_ptr<Proxy>> m_killed_proxies;
-  std::map<std::pair<RecordCollection, std::string>, StoredRecord> m_records;
-  // The revision at which each record was removed.
-  std::map<std::pair<RecordCollection, std::string>, uint64_t> m_removed;
-  uint64_t m_revision = 0;
+  StoreContents m_store;
+  // The contents at earlier times, oldest first.
+  std::deque<std::pair<TimePoint, StoreContents>> m_store_copies;
+  uint64_t m_era = 0;
+  // The claims that the last return of the store has lost.
+  std::vector<StoredRecord> m_lost_claims;
   uint64_t m_commits = 0;
   uint64_t m_requests = 0;
   // When commits that some log lacks were acknowledged to their clients, by
--- a/tests/support/replicated_world_parts.h
+++ b/tests/support/replicated_world_parts.h
@@ -131,11 +131,14 @@
             std::function<void(Result<RecordList>)> on_list) override {
     Call<RecordList>(timeout, std::move(on_list), [this, collection] {
       RecordList list;
-      for (const auto& [key, record] : m_world.m_records) {
+      for (const auto& [key, record] : m_world.m_store.records) {
         if (key.first == collection)
-          list.records.push_back(record);
+          list.records.push_back(Shown(record));
       }
-      list.revision = m_world.m_revision;
+      if (collection == RecordCollection::kPrimaryChanges &&
+          m_world.m_options.mutant == WorldMutant::kLostClaimsEnded)
+        EndLostClaims(list.records);
+      list.revision = Shown(m_world.m_store.revision);
       return Result<RecordList>(list);
     });
   }
@@ -144,7 +147,7 @@
              uint64_t revision,
              Duration wait,
              std::function<void(Result<RecordChanges>)> on_changes) override {
-    Poll(collection, revision,
+    Poll(collection, RevisionNumber(revision),
          m_world.m_timers.now() + m_timers.ToWorldTime(wait),
          std::move(on_changes));
   }
@@ -156,10 +159,10 @@
     Call<StoredRecord>(
         timeout, std::move(on_record),
         [this, collection, name]() -> Result<StoredRecord> {
-          const auto found = m_world.m_records.find({collection, name});
-          if (found == m_world.m_records.end())
+          const auto found = m_world.m_store.records.find({collection, name});
+          if (found == m_world.m_store.records.end())
             return Error{ErrorCode::kNotFound, "world", "", ""};
-          return found->second;
+          return Shown(found->second);
         });
   }
 
@@ -169,17 +172,21 @@
               const std::string& body,
               Duration timeout,
               OnRecord on_record) override {
+    if (era().Outdates(expected))
+      return on_record(Error{ErrorCode::kConflict, "world", "", ""});
     Call<StoredRecord>(
         timeout, std::move(on_record),
-        [this, collection, name, expected, body]() -> Result<StoredRecord> {
-          const auto found = m_world.m_records.find({collection, name});
-          const uint64_t current =
-              found == m_world.m_records.end() ? 0 : found->second.revision;
+        [this, collection, name, expected = RevisionNumber(expected),
+         body]() -> Result<StoredRecord> {
+          const auto found = m_world.m_store.records.find({collection, name});
+          const uint64_t current = found == m_world.m_store.records.end()
+                                       ? 0
+                                       : found->second.revision;
           if (current != expected &&
               m_world.m_options.mutant != WorldMutant::kUnconditionalUpdates)
             return Error{ErrorCode::kConflict, "world", "", ""};
           m_world.PutRecord(collection, name, body);
-          return m_world.m_records.at({collection, name});
+          return Shown(m_world.m_store.records.at({collection, name}));
         });
   }
 
@@ -188,6 +195,45 @@
     return !m_world.m_store_down && m_world.Connected(m_proxy, "store");
   }
 
+  // Returns the era that an answer shows.
+  std::optional<uint64_t> ShownEra() const {
+    if (!m_world.m_options.eras ||
+        m_world.m_options.mutant == WorldMutant::kErasHidden)
+      return std::nullopt;
+    return m_world.m_era;
+  }
+  uint64_t Shown(uint64_t number) const {
+    return CombineRevision(ShownEra().value_or(0), number);
+  }
+  StoredRecord Shown(StoredRecord record) const {
+    record.revision = Shown(record.revision);
+    if (m_world.m_options.mutant == WorldMutant::kEarlierMembersCount) {
+      if (auto members = DecodeMembers(record.body)) {
+        members.value().era = m_world.m_era;
+        record.body = EncodeMembers(members.value());
+      }
+    }
+    return record;
+  }
+  void EndLostClaims(std::vector<StoredRecord>& records) const {
+    for (StoredRecord lost : m_world.m_lost_claims) {
+      const std::string open = "\"ended\":false";
+      const size_t place = lost.body.find(open);
+      if (place == std::string::npos)
+        continue;
+      lost.body.replace(place, open.size(), "\"ended\":true");
+      lost.revision = Shown(m_world.m_store.revision);
+      records.push_back(lost);
+    }
+  }
+  // Returns what the proxy makes of an answer that shows an era.
+  template <typename T>
+  Result<T> Accept(std::optional<uint64_t> shown, const Result<T>& result) {
+    if (era().Accept(shown))
+      return result;
+    return Error{ErrorCode::kTimeout, "world", "", "of an earlier era"};
+  }
+
   template <typename T>
   void Call(Duration timeout,
             std::function<void(Result<T>)> on_result,
@@ -210,7 +256,13 @@
           if (lost)
             return reply(timeout, std::move(on_result),
                          Error{ErrorCode::kTimeout, "world", "", ""});
-          reply(m_world.Latency(), std::move(on_result), std::move(result));
+          reply(
+              m_world.Latency(),
+              [this, shown = ShownEra(),
+               on_result = std::move(on_result)](const Result<T>& answer) {
+                on_result(Accept(shown, answer));
+              },
+              std::move(result));
         });
   }
 
@@ -220,17 +272,23 @@
             std::function<void(Result<RecordChanges>)> on_changes) {
     constexpr Duration kPollInterval = std::chrono::milliseconds(20);
     RecordChanges changes;
-    changes.revision = m_world.m_revision;
+    changes.revision = Shown(m_world.m_store.revision);
+    // The store has no history after such a revision.
+    if (reachable() && revision > m_world.m_store.revision)
+      return m_timers.RunWhenAwake([this, shown = ShownEra(), on_changes] {
+        on_changes(Accept<RecordChanges>(
+            shown, Error{ErrorCode::kNotFound, "world", "", ""}));
+      });
     const bool silent =
         collection == RecordCollection::kPrimaryChanges &&
         m_world.m_options.mutant == WorldMutant::kChangesNotHeard;
-    for (const auto& [key, record] : m_world.m_records) {
+    for (const auto& [key, record] : m_world.m_store.records) {
       if (key.first == collection && record.revision > revision && !silent)
-        changes.changes.push_back({record, false});
+        changes.changes.push_back({Shown(record), false});
     }
-    for (const auto& [key, removed_at] : m_world.m_removed) {
+    for (const auto& [key, removed_at] : m_world.m_store.removed) {
       if (key.first == collection && removed_at > revision)
-        changes.changes.push_back({{key.second, removed_at, ""}, true});
+        changes.changes.push_back({{key.second, Shown(removed_at), ""}, true});
     }
     const bool over = m_world.m_timers.now() >= end;
     if (reachable() ? over || !changes.changes.empty() : over) {
@@ -249,13 +307,18 @@
       const bool hidden =
           m_world.m_options.mutant == WorldMutant::kOutagesHidden;
       RecordChanges nothing;
-      nothing.revision = revision;
+      nothing.revision = Shown(revision);
       const auto result = reachable() ? Result<RecordChanges>(changes)
                           : hidden
                               ? Result<RecordChanges>(nothing)
                               : Error{ErrorCode::kTimeout, "world", "", ""};
+      if (!reachable())
+        return m_timers.RunWhenAwake(
+            [on_changes, result] { on_changes(result); });
       return m_timers.RunWhenAwake(
-          [on_changes, result] { on_changes(result); });
+          [this, shown = ShownEra(), on_changes, result] {
+            on_changes(Accept(shown, result));
+          });
     }
     m_world.m_timers.After(kPollInterval, [this, collection, revision, end,
                                            on_changes = std::move(on_changes)] {
