--- a/tests/platform/object_store_test.cc
+++ b/tests/platform/object_store_test.cc
@@ -9,12 +9,6 @@
 
 namespace jackdawturn::gateway::platform {
 
-namespace {
-
-using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
-
-constexpr Duration kTimeout = 10s;
-
 // One answer of the store; "" for no era.
 struct ShownAnswer {
   const char* era;
@@ -22,6 +16,12 @@
   const char* body;
 };
 
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+
+constexpr Duration kTimeout = 10s;
+
 constexpr const char* kObject = R"({"meta":{"Name":"x","Revision":7}})";
 
 // A store that gives scripted answers, one for each request.
