--- a/libraries/gateway/client_session.cc
+++ b/libraries/gateway/client_session.cc
@@ -13,8 +13,6 @@
 using Kind = ClientStatement::Kind;
 
 constexpr const char* kStops = "the proxy stops";
-constexpr const char* kInvalidKey = "the API key is not valid";
-constexpr const char* kOverRateLimit = "over_rate_limit";
 
 }  // namespace
 
@@ -142,121 +140,6 @@
   }
 }
 
-bool ClientSession::UpdateCustomer() {
-  if (m_origin == Origin::kPeer || !m_context.config ||
-      !m_context.config->requires_api_keys)
-    return true;
-  const CustomerName* holder = m_context.config->FindKeyHolder(m_key);
-  const Route* route = m_transaction ? &m_transaction->route : FindRoute();
-  if (!holder && !(route && route->is_public))
-    return false;
-  const CustomerName customer = holder ? *holder : CustomerName();
-  // The connection of a transaction belongs to the customer that began it.
-  if (m_transaction && customer != m_customer)
-    return false;
-  m_customer = customer;
-  return true;
-}
-
-void ClientSession::RefuseUnauthorized(const ClientStatement& statement) {
-  RollBack();
-  m_unauthorized = true;
-  m_context.log.CountUnauthorized();
-  m_context.log.LogRequestEvent(statement.id, GroupName(), "unauthorized", "",
-                                {{"database", m_database}});
-  Fail(ReplyCode::kUnauthorized, kInvalidKey);
-}
-
-void ClientSession::Admit(const ClientStatement& statement,
-                          const Route& route,
-                          std::function<void()> then) {
-  // The entry proxy has admitted what it relays.
-  if (m_origin == Origin::kPeer || !m_context.admit_operation ||
-      m_customer.empty())
-    return then();
-  m_admitting = true;
-  m_running = statement.id;
-  m_context.admit_operation(
-      m_customer, m_started + route.target_latency,
-      [weak = weak_from_this(), admission = ++m_admission,
-       then = std::move(then)](OperationDecision decision) {
-        const auto self = weak.lock();
-        if (!self || admission != self->m_admission ||
-            !std::exchange(self->m_admitting, false))
-          return;
-        if (decision.admitted)
-          return then();
-        self->RefuseOverLimit(decision.retry_after);
-      });
-}
-
-void ClientSession::RefuseOverLimit(Duration retry_after) {
-  const auto milliseconds =
-      std::chrono::ceil<std::chrono::milliseconds>(retry_after).count();
-  m_context.log.LogRequestEvent(
-      m_running, GroupName(), "over_rate_limit", "",
-      {{"customer", m_customer.value()},
-       {"database", m_database},
-       {"retry_after_ms", std::to_string(milliseconds)}});
-  Fail(ReplyCode::kBusy, std::string(kOverRateLimit) +
-                             " retry_after_ms=" + std::to_string(milliseconds));
-}
-
-void ClientSession::StartInFailedTransaction(const ClientStatement& statement) {
-  if (statement.kind == Kind::kRollback) {
-    RollBack();
-    return ReplyDone();
-  }
-  if (statement.kind == Kind::kCommit) {
-    RollBack();
-    return Fail(ReplyCode::kAborted, "the transaction had failed");
-  }
-  if (std::exchange(m_transaction->expired, false))
-    return Fail(ReplyCode::kAborted, "the transaction was idle for too long");
-  Fail(ReplyCode::kMalformed, "the transaction has failed");
-}
-
-void ClientSession::Begin(const ClientStatement& statement) {
-  if (m_transaction)
-    return Fail(ReplyCode::kMalformed, "a transaction is already open");
-  if (m_context.DrainReached(DrainPhase::kEndingTransactions))
-    return RefuseFromNowOn(statement, ReplyCode::kBusy, kDraining);
-  const Route* route = FindRoute();
-  if (!route) {
-    // Another proxy sends BEGIN and the first statement in one batch. The
-    // failed transaction remains, so that this statement does not run outside
-    // of a transaction.
-    if (m_origin == Origin::kPeer)
-      m_transaction.emplace();
-    return Fail(ReplyCode::kNoDatabase, "no such database");
-  }
-  const bool read_only = statement.kind == Kind::kBeginRead;
-  Admit(statement, *route, [this, route = *route, read_only] {
-    BeginTransaction(route, read_only);
-  });
-}
-
-void ClientSession::BeginTransaction(const Route& route, bool read_only) {
-  m_transaction.emplace();
-  m_transaction->route = route;
-  m_transaction->read_only = read_only;
-  ReplyDone();
-}
-
-void ClientSession::RollBack() {
-  if (!m_transaction)
-    return;
-  CloseTransaction();
-  m_transaction.reset();
-}
-
-void ClientSession::CloseTransaction() {
-  m_context.timers.Cancel(m_transaction->idle_timer);
-  if (m_transaction->connection)
-    BackendPool::RollBackToPool(std::move(m_transaction->connection),
-                                TransactionState::kOpen);
-}
-
 void ClientSession::Run(const ClientStatement& statement) {
   if (!m_transaction)
     return RunSingle(statement);
@@ -353,45 +236,6 @@
   Reply(std::move(outcome.reply));
 }
 
-void ClientSession::UpdateTransaction(const ClientStatement& statement,
-                                      bool wrote,
-                                      StatementExecution::Outcome& outcome) {
-  ClientTransaction& transaction = *m_transaction;
-  transaction.wrote = transaction.wrote || wrote;
-  transaction.connection = std::move(outcome.connection);
-  if (statement.kind == Kind::kCommit) {
-    if (outcome.reply.code == ReplyCode::kDone && transaction.wrote)
-      RecordOwnCommit(outcome.reply);
-    RollBack();
-    return;
-  }
-  if (outcome.reply.code != ReplyCode::kDone) {
-    CloseTransaction();
-    transaction.failed = true;
-  }
-}
-
-void ClientSession::StartIdleTimer() {
-  if (!m_context.config || m_context.config->transaction_idle == Duration(0))
-    return;
-  m_transaction->idle_timer = m_context.timers.After(
-      m_context.config->transaction_idle, [weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-          self->ExpireTransaction();
-      });
-}
-
-void ClientSession::ExpireTransaction() {
-  if (!m_transaction || m_busy || m_transaction->failed)
-    return;
-  CloseTransaction();
-  m_transaction->failed = true;
-  m_transaction->expired = true;
-  m_context.log.LogRequestEvent(RequestId(), m_transaction->route.group,
-                                "transaction_idle", "",
-                                {{"database", m_database}});
-}
-
 void ClientSession::LogUnanswered(SessionEnd why) {
   if (m_execution || m_admitting)
     LogUnanswered(m_running, why, m_execution && m_execution->sent());
