--- a/tests/gateway/customers_test.cc
+++ b/tests/gateway/customers_test.cc
@@ -240,7 +240,7 @@
   cr_expect(rig.served.find('b') != std::string::npos, "b was never served: %s",
             rig.served.c_str());
   // The first requests of the busy customer did not wait for the other one.
-  cr_expect_str_eq(rig.served.substr(0, 4).c_str(), "aaaa");
+  cr_expect_eq(rig.served.substr(0, 4), std::string("aaaa"));
 }
 
 // An operation over the rate limit must not reach an instance, and its answer
--- a/tests/gateway/store_era_test.cc
+++ b/tests/gateway/store_era_test.cc
@@ -312,7 +312,8 @@
   rig.timers.Advance(5s);
   cr_expect_eq(rig.results.size(), 1U, "%s", row.name);
   cr_assert_eq(rig.group.promotions.size(), row.promotions, "%s", row.name);
-  cr_expect_str_eq(rig.Stored().c_str(), row.stored, "%s", row.name);
+  const std::string stored = rig.Stored();
+  cr_expect_str_eq(stored.c_str(), row.stored, "%s", row.name);
   for (const auto& [instance, token] : rig.group.promotions)
     cr_expect_eq(token, CombineRevision(1, number));
 }
@@ -327,7 +328,8 @@
   rig.store.shown_era = 1;
   rig.timers.Advance(5s);
   cr_expect(rig.group.promotions.empty());
-  cr_expect_str_eq(rig.Stored().c_str(), "-one");
+  const std::string stored = rig.Stored();
+  cr_expect_str_eq(stored.c_str(), "-one");
 }
 
 // After the return, a change must be possible at once, with a token above all
